--- /dev/null
+++ b/Makefile
@@ -0,0 +1,59 @@
+# Two commands matter: `make demo` and `make test`; each does its own set-up.
+
+PACKAGES := g++ cmake ninja-build clang-format clang-tidy clang make \
+  libcxxtools-dev libwebsocketpp-dev libboost-dev libboost-system-dev \
+  libexpected-dev libtclap-dev libeasyloggingpp-dev doctest-dev \
+  libyaml-cpp-dev librapidcheck-dev nlohmann-json3-dev libbenchmark-dev \
+  libssl-dev
+
+SUDO := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
+SOURCES := $(shell git ls-files '*.h' '*.cpp')
+CMAKE := cmake -S . -G Ninja
+
+.PHONY: demo test deps build unit tsan lint format bench measure soak
+
+demo: deps build
+	scripts/demo.sh build
+
+test: deps lint unit tsan
+	@echo "make test: all passed"
+
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
+	  ($(SUDO) apt-get update && $(SUDO) apt-get install -y $(PACKAGES))
+
+build:
+	$(CMAKE) -B build -DCMAKE_BUILD_TYPE=RelWithDebInfo
+	cmake --build build
+
+unit:
+	$(CMAKE) -B build-asan -DCMAKE_BUILD_TYPE=Debug \
+	  -DSARDINERILL_SANITIZE=address,undefined
+	cmake --build build-asan
+	UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 \
+	  ctest --test-dir build-asan --output-on-failure
+
+tsan:
+	$(CMAKE) -B build-tsan -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+	  -DSARDINERILL_SANITIZE=thread
+	cmake --build build-tsan
+	TSAN_OPTIONS=halt_on_error=1:suppressions=$(CURDIR)/cmake/tsan.supp \
+	  ctest --test-dir build-tsan --output-on-failure
+
+lint:
+	clang-format --dry-run -Werror $(SOURCES)
+	$(CMAKE) -B build-lint -DCMAKE_BUILD_TYPE=Debug \
+	  -DCMAKE_CXX_COMPILER=clang++
+	scripts/lint.sh build-lint
+
+format:
+	clang-format -i $(SOURCES)
+
+bench: deps build
+	build/bench/decision_bench
+
+measure: deps build
+	scripts/measure.sh build
+
+soak: deps build
+	scripts/soak.sh build
--- /dev/null
+++ b/cmake/SardinerillPackage.cmake
@@ -0,0 +1,32 @@
+find_package(Threads REQUIRED)
+find_package(rapidcheck REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(yaml-cpp REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Boost REQUIRED)
+
+# Declares the library of one package from its src/ folder.
+# Usage: sardinerill_package(NAME [DEPENDS other...] [LINK library...])
+function(sardinerill_package NAME)
+  cmake_parse_arguments(ARG "" "" "DEPENDS;LINK" ${ARGN})
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS src/*.cpp)
+  list(FILTER sources EXCLUDE REGEX "src/main\\.cpp$")
+  add_library(sardinerill_${NAME} STATIC ${sources})
+  target_include_directories(sardinerill_${NAME} PUBLIC include PRIVATE src)
+  target_compile_options(sardinerill_${NAME} PRIVATE -Wall -Wextra)
+  list(TRANSFORM ARG_DEPENDS PREPEND sardinerill_)
+  target_link_libraries(sardinerill_${NAME} PUBLIC ${ARG_DEPENDS} ${ARG_LINK}
+                        nlohmann_json::nlohmann_json Threads::Threads)
+  file(GLOB tests CONFIGURE_DEPENDS tests/*_test.cpp)
+  if(tests)
+    add_executable(${NAME}_tests ${tests}
+                   ${PROJECT_SOURCE_DIR}/cmake/testmain.cpp)
+    target_include_directories(${NAME}_tests PRIVATE src tests)
+    target_compile_options(${NAME}_tests PRIVATE -Wall -Wextra)
+    target_link_libraries(${NAME}_tests PRIVATE sardinerill_${NAME} rapidcheck)
+    add_test(NAME ${NAME} COMMAND ${NAME}_tests)
+    # Fixed seed: the same histories on every run.
+    set_tests_properties(${NAME} PROPERTIES TIMEOUT 600 ENVIRONMENT
+                         "RC_PARAMS=seed=20261204 max_success=200")
+  endif()
+endfunction()
--- /dev/null
+++ b/packages/admission/src/admission.cpp
@@ -0,0 +1,73 @@
+#include "sardinerill/admission/admission.h"
+
+#include "sardinerill/admission/keys.h"
+
+namespace sardinerill {
+
+namespace {
+
+constexpr milliseconds FreshnessRetry{2000};
+
+} // namespace
+
+const TeamId &openTeam() {
+  static const TeamId Open("open");
+  return Open;
+}
+
+Admission::Admission(std::shared_ptr<const Fleet> Newest)
+    : Current(std::move(Newest)) {
+  for (const auto &[Id, Team] : this->Current->Teams)
+    for (const KeyRecord &Record : Team.Keys)
+      this->ByKey.emplace(Record.Id, TeamKey{Id, Record});
+}
+
+Result<TeamId> Admission::teamOf(const std::string &Key) const {
+  const std::optional<KeyId> Id = keyIdOf(Key);
+  const auto Found = Id ? this->ByKey.find(*Id) : this->ByKey.end();
+  if (Found == this->ByKey.end() || !matchesKey(Found->second.Record, Key))
+    return makeError(ErrorKind::KeyUnknown, "the key is not known here");
+  if (Found->second.Record.Withdrawn)
+    return makeError(ErrorKind::KeyWithdrawn, "the key was withdrawn");
+  return Found->second.Team;
+}
+
+Result<Admitted> Admission::admit(const AdmissionRequest &Request,
+                                  Freshness Known, Instant Now) const {
+  const auto Class = this->Current->Classes.find(Request.Class);
+  if (Class == this->Current->Classes.end())
+    return makeError(ErrorKind::ClassUnknown,
+                     "no class is named \"" + Request.Class.str() + "\"");
+  if (!Class->second.Idempotent && !Request.HasIdempotencyKey)
+    return makeError(ErrorKind::IdempotencyKeyMissing,
+                     "work of this class runs at most once, so that it needs "
+                     "an Idempotency-Key header");
+  if (!Request.Key) {
+    if (Class->second.Open)
+      return Admitted{openTeam(), Class->second};
+    return makeError(ErrorKind::KeyMissing,
+                     "send the team's key as Authorization: Bearer");
+  }
+  if (Now - Known.Since > Known.Grace)
+    return makeError(ErrorKind::KeyNotFresh,
+                     "the configuration could not be confirmed lately",
+                     FreshnessRetry);
+  Result<TeamId> Team = this->teamOf(*Request.Key);
+  if (!Team)
+    return tl::unexpected(Team.error());
+  return Admitted{*Team, Class->second};
+}
+
+Result<KeyId> Admission::admitOperator(const std::string &Key) const {
+  const std::optional<KeyId> Id = keyIdOf(Key);
+  for (const KeyRecord &Record : this->Current->OperatorKeys) {
+    if (!Id || Record.Id != *Id || !matchesKey(Record, Key))
+      continue;
+    if (Record.Withdrawn)
+      return makeError(ErrorKind::KeyWithdrawn, "the key was withdrawn");
+    return *Id;
+  }
+  return makeError(ErrorKind::KeyUnknown, "not an operator's key");
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/admission/src/keys.cpp
@@ -0,0 +1,69 @@
+#include "sardinerill/admission/keys.h"
+
+#include <array>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/rand.h>
+
+namespace sardinerill {
+
+namespace {
+
+constexpr std::string_view Prefix = "sk.";
+constexpr std::size_t SecretBytes = 32;
+constexpr std::size_t SaltBytes = 16;
+constexpr std::size_t MaxKeyBytes = 256;
+
+template <typename Bytes> std::string toHex(const Bytes &Source) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Text;
+  for (unsigned char Byte : Source) {
+    Text += Digits[Byte >> 4U];
+    Text += Digits[Byte & 0xfU];
+  }
+  return Text;
+}
+
+template <std::size_t Size> std::string randomHex() {
+  std::array<unsigned char, Size> Bytes{};
+  if (RAND_bytes(Bytes.data(), static_cast<int>(Size)) != 1)
+    std::abort(); // A guessable key is worse than no daemon.
+  return toHex(Bytes);
+}
+
+std::string hashOf(const std::string &Salt, const std::string &Text) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
+  unsigned Length = 0;
+  const std::string Salted = Salt + Text;
+  EVP_Digest(Salted.data(), Salted.size(), Digest.data(), &Length, EVP_sha256(),
+             nullptr);
+  return toHex(std::string(Digest.begin(), Digest.begin() + Length));
+}
+
+} // namespace
+
+NewKey makeKey(const KeyId &Id) {
+  NewKey Made;
+  Made.Text = std::string(Prefix) + Id.str() + "." + randomHex<SecretBytes>();
+  Made.Record.Id = Id;
+  Made.Record.Salt = randomHex<SaltBytes>();
+  Made.Record.Hash = hashOf(Made.Record.Salt, Made.Text);
+  return Made;
+}
+
+std::optional<KeyId> keyIdOf(const std::string &Text) {
+  if (Text.size() > MaxKeyBytes || !Text.starts_with(Prefix))
+    return std::nullopt;
+  const std::size_t End = Text.rfind('.');
+  if (End <= Prefix.size())
+    return std::nullopt;
+  return KeyId(Text.substr(Prefix.size(), End - Prefix.size()));
+}
+
+bool matchesKey(const KeyRecord &Record, const std::string &Text) {
+  const std::string Hash = hashOf(Record.Salt, Text);
+  return Hash.size() == Record.Hash.size() &&
+         CRYPTO_memcmp(Hash.data(), Record.Hash.data(), Hash.size()) == 0;
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/base/include/sardinerill/base/clock.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chrono>
+
+/// \file
+/// Time as the decisions see it: always passed in, never read.
+
+namespace sardinerill {
+
+using Duration = std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Tag for the daemon's monotonic time line; instants of two processes are
+/// never compared.
+struct MonotonicLine {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  static constexpr bool is_steady = true;
+};
+
+using Instant = std::chrono::time_point<MonotonicLine, Duration>;
+
+/// Source of the current time.
+class IClock {
+public:
+  virtual ~IClock() = default;
+  /// \returns the time since an arbitrary start, never going back.
+  virtual Instant now() const = 0;
+};
+
+/// Reads the steady clock of the machine.
+class SteadyClock : public IClock {
+public:
+  Instant now() const override {
+    auto Since = std::chrono::steady_clock::now().time_since_epoch();
+    return Instant(std::chrono::duration_cast<Duration>(Since));
+  }
+};
+
+/// A clock that tests move by hand.
+class ManualClock : public IClock {
+public:
+  Instant now() const override { return this->Current; }
+  void advance(Duration Step) { this->Current += Step; }
+
+private:
+  Instant Current{};
+};
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/base/include/sardinerill/base/metrics.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "sardinerill/base/clock.h"
+#include "sardinerill/base/errors.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+/// \file
+/// Counters and histograms, shown in Prometheus text form.
+
+namespace sardinerill {
+
+/// Why work was tried once more.
+enum class RetryReason {
+  ConnectFailed,
+  SentNothing,
+  UpstreamBusy,
+  UpstreamError,
+  UpstreamCutOff,
+  PlatformConflict,
+  PlatformTimeout,
+  Count
+};
+
+/// \returns the counter label of \p Reason.
+std::string_view toString(RetryReason Reason);
+
+/// Every figure that the daemon shows. Safe from any thread.
+class Metrics {
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics &) = delete;
+  Metrics &operator=(const Metrics &) = delete;
+
+  void countRefusal(ErrorKind Kind);
+  void countRetry(RetryReason Reason);
+  /// Adds to a named counter, such as "requests_answered_total".
+  void count(const std::string &Name, std::uint64_t Amount = 1);
+  void setGauge(const std::string &Name, double Value);
+  /// Records a latency under \p Name for the class \p Label.
+  void observe(const std::string &Name, const std::string &Label,
+               Duration Latency);
+
+  std::uint64_t refusals(ErrorKind Kind) const;
+  std::uint64_t retries(RetryReason Reason) const;
+  std::uint64_t counter(const std::string &Name) const;
+
+  /// \returns all figures in Prometheus text exposition form.
+  std::string renderPrometheus() const;
+
+private:
+  struct State;
+  mutable std::mutex Guard;
+  std::unique_ptr<State> Figures;
+};
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/base/src/errors.cpp
@@ -0,0 +1,84 @@
+#include "sardinerill/base/errors.h"
+
+namespace sardinerill {
+
+namespace {
+
+using enum ErrorKind;
+constexpr auto No = RanState::DidNotRun;
+constexpr auto Maybe = RanState::MayHaveRun;
+constexpr auto Never = RetryAdvice::Never;
+constexpr auto Later = RetryAdvice::Later;
+constexpr auto SameKey = RetryAdvice::WithSameKey;
+constexpr auto Change = RetryAdvice::AfterChange;
+
+constexpr std::size_t KindCount = static_cast<std::size_t>(Count);
+
+constexpr std::array<ErrorAnswer, KindCount> Answers{{
+    {BadRequest, "bad_request", 400, No, Change, "The request is malformed"},
+    {BodyTooLarge, "body_too_large", 413, No, Change, "The body is too large"},
+    {KeyMissing, "key_missing", 401, No, Change, "A team's key is required"},
+    {KeyUnknown, "key_unknown", 401, No, Change, "The key is not known"},
+    {KeyWithdrawn, "key_withdrawn", 401, No, Change, "The key was withdrawn"},
+    {KeyNotFresh, "key_not_fresh", 503, No, Later,
+     "Keys can't be checked: this zone is cut off"},
+    {NotPermitted, "not_permitted", 403, No, Change, "The key may not do this"},
+    {ClassUnknown, "class_unknown", 404, No, Change, "No such class of work"},
+    {IdempotencyKeyMissing, "idempotency_key_missing", 400, No, Change,
+     "This class needs an Idempotency-Key"},
+    {DuplicateRequest, "duplicate_request", 409, Maybe, Never,
+     "A request with this Idempotency-Key was already taken"},
+    {QueueFull, "queue_full", 429, No, Later, "The queue is full"},
+    {TargetUnreachable, "target_unreachable", 503, No, Later,
+     "The target can no longer be met"},
+    {NoWorkerFits, "no_worker_fits", 422, No, Change, "No worker fits the job"},
+    {CeilingReached, "ceiling_reached", 429, No, Later,
+     "The team is at its ceiling"},
+    {ErrorKind::Draining, "draining", 503, No, Later,
+     "This entry VM is stopping"},
+    {PlatformUnavailable, "platform_unavailable", 503, No, Later,
+     "The platform's table can't be reached"},
+    {UpstreamUnreachable, "upstream_unreachable", 502, No, Later,
+     "No upstream could be reached"},
+    {UpstreamFailed, "upstream_failed", 502, Maybe, SameKey,
+     "The upstream failed"},
+    {UpstreamTimeout, "upstream_timeout", 504, Maybe, SameKey,
+     "The upstream did not answer in time"},
+    {UpstreamBadReply, "upstream_bad_reply", 502, Maybe, SameKey,
+     "The upstream's answer was not whole or not ours"},
+    {CallerGone, "caller_gone", 499, Maybe, Never, "The caller hung up"},
+    {VersionConflict, "version_conflict", 409, No, Change,
+     "The change was made on another version"},
+    {ConfigInvalid, "config_invalid", 422, No, Change,
+     "The configuration is invalid"},
+    {BudgetExhausted, "budget_exhausted", 409, No, Later,
+     "The availability budget allows no more disruption"},
+    {NotFound, "not_found", 404, No, Change, "No such thing"},
+    {Internal, "internal", 500, Maybe, Later, "An internal error"},
+}};
+
+constexpr bool isInOrder() {
+  for (std::size_t Index = 0; Index < KindCount; ++Index)
+    if (static_cast<std::size_t>(Answers[Index].Kind) != Index)
+      return false;
+  return true;
+}
+static_assert(isInOrder(), "one answer for each kind, in the order of kinds");
+
+} // namespace
+
+const ErrorAnswer &answerFor(ErrorKind Kind) {
+  return Answers[static_cast<std::size_t>(Kind)];
+}
+
+std::string_view toString(RanState Ran) {
+  return Ran == RanState::DidNotRun ? "did_not_run" : "may_have_run";
+}
+
+std::string_view toString(RetryAdvice Advice) {
+  constexpr std::array<std::string_view, 4> Names{
+      "never", "later", "with_same_key", "after_change"};
+  return Names[static_cast<std::size_t>(Advice)];
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/control/src/maintenanceduty.cpp
@@ -0,0 +1,144 @@
+#include "sardinerill/control/maintenanceduty.h"
+
+#include "sardinerill/base/logging.h"
+
+namespace sardinerill {
+
+namespace {
+
+const std::string DutyName = "maintenance";
+constexpr Duration LeaseTime = seconds(10);
+
+} // namespace
+
+MaintenanceDuty::MaintenanceDuty(IPlatform &Platform, IBackground &Background,
+                                 FleetKeeper &Keeper, Membership &Members,
+                                 const IMaintenanceView &View,
+                                 PlatformGate &Gate, const IClock &Clock,
+                                 Metrics &Figures)
+    : Platform(Platform), Background(Background), Keeper(Keeper),
+      Members(Members), View(View), Gate(Gate), Clock(Clock), Figures(Figures) {
+}
+
+bool MaintenanceDuty::isHeld() const { return this->Held; }
+
+void MaintenanceDuty::tick() {
+  const Instant Now = this->Clock.now();
+  if (this->InRound || this->Released || !this->Keeper.current() ||
+      !this->Gate.allow(CallPriority::Normal, Now))
+    return;
+  this->InRound = true;
+  runFor<Round>(
+      this->Background,
+      [Platform = &this->Platform, Seen = this->Seen,
+       Self = this->Members.self(), Now] {
+        Round Read{readDuty(*Platform, DutyName), {}};
+        if (!Read.Duty)
+          return Read;
+        // A row that has not moved keeps the time it was first seen at.
+        const bool Moved = Read.Duty->Rev != Seen.Rev || Read.Duty->Rev == 0;
+        Read.Duty->SeenAt = Moved ? Now : Seen.SeenAt;
+        if (decideDuty(*Read.Duty, Self, Now, LeaseTime) == DutyAction::Wait)
+          return Read;
+        Read.Duty = holdDuty(*Platform, DutyName, *Read.Duty, Self);
+        if (Read.Duty)
+          Read.Vms = Platform->listVms();
+        return Read;
+      },
+      [this](Round Read) { this->endRound(std::move(Read)); });
+}
+
+void MaintenanceDuty::endRound(Round Read) {
+  this->InRound = false;
+  const bool WasHeld = this->Held;
+  this->Held = false;
+  if (!Read.Duty) {
+    const bool Answered = Read.Duty.error().Kind == ErrorKind::VersionConflict;
+    this->Gate.record(Answered, this->Clock.now());
+    return;
+  }
+  this->Gate.record(true, this->Clock.now());
+  this->Seen = *Read.Duty;
+  this->Held = this->Seen.Holder == this->Members.self() && !this->Released;
+  if (this->Held && !WasHeld)
+    logEvent(LogLevel::Info, "duty.taken",
+             {{"duty", DutyName}, {"fence", std::to_string(this->Seen.Fence)}});
+  if (this->Held && Read.Vms && !Read.Vms->empty())
+    this->act(*Read.Vms);
+}
+
+FleetObservation
+MaintenanceDuty::observe(const Fleet &Current,
+                         const std::vector<VmListEntry> &Vms) const {
+  FleetObservation Seen;
+  for (const VmListEntry &Entry : Vms) {
+    auto Known = Current.Vms.find(Entry.Vm);
+    if (Known == Current.Vms.end())
+      continue;
+    VmObservation Now;
+    Now.ListedLive = Entry.State == VmListState::Live;
+    Now.Boots = Entry.Boots;
+    Now.Suspected = this->View.isSuspected(Entry.Vm);
+    Now.Running = this->View.runningOn(Entry.Vm);
+    if (Known->second.State == VmState::Draining)
+      Now.Drained =
+          this->Members.busyOn(Entry.Vm, Known->second.DrainVersion).empty();
+    Seen[Entry.Vm] = Now;
+  }
+  return Seen;
+}
+
+void MaintenanceDuty::act(const std::vector<VmListEntry> &Vms) {
+  const std::shared_ptr<const Fleet> Current = this->Keeper.current();
+  MaintenancePlan Plan =
+      planMaintenance(*Current, this->observe(*Current, Vms));
+  if (Plan.Patch.empty()) {
+    this->reboot(std::move(Plan.Reboots));
+    return;
+  }
+  FleetChange Change;
+  Change.MadeOn = Current->Version;
+  Change.Patch = std::move(Plan.Patch);
+  Change.Author = "maintenance@" + this->Members.self().str();
+  Change.Guards = {fenceOf(DutyName, this->Seen)};
+  this->Keeper.append(
+      std::move(Change), [this, Reboots = std::move(Plan.Reboots)](
+                             Result<FleetVersion> Written) mutable {
+        if (!Written) {
+          logEvent(LogLevel::Warning, "maintenance.not_committed",
+                   {{"detail", Written.error().Detail}});
+          return;
+        }
+        this->Figures.count("maintenance_steps_total");
+        this->reboot(std::move(Reboots));
+      });
+}
+
+void MaintenanceDuty::reboot(std::vector<RebootOrder> Orders) {
+  if (Orders.empty())
+    return;
+  for (const RebootOrder &Order : Orders)
+    logEvent(LogLevel::Info, "vm.rebooting", {{"vm", Order.Vm.str()}});
+  this->Background.run(
+      [Platform = &this->Platform, Orders] {
+        for (const RebootOrder &Order : Orders)
+          (void)Platform->rebootVm(Order.Vm, Order.ExpectedBoots);
+      },
+      [] {});
+}
+
+void MaintenanceDuty::release(std::function<void()> Done) {
+  this->Released = true;
+  if (!this->Held) {
+    Done();
+    return;
+  }
+  this->Held = false;
+  this->Background.run(
+      [Platform = &this->Platform, Seen = this->Seen] {
+        (void)dropDuty(*Platform, DutyName, Seen);
+      },
+      std::move(Done));
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/ctl/src/fleetfile.cpp
@@ -0,0 +1,155 @@
+#include "fleetfile.h"
+
+#include "sardinerill/fleet/fleetdocument.h"
+
+#include <array>
+#include <sstream>
+#include <yaml-cpp/yaml.h>
+
+namespace sardinerill {
+
+using nlohmann::json;
+
+namespace {
+
+struct KeptField {
+  const char *Section;
+  const char *Field;
+};
+
+/// What the system keeps and files do not say.
+constexpr std::array<KeptField, 10> KeptFields{{
+    {"teams", "keys"},
+    {"teams", "ceilingVersion"},
+    {"pools", "slotsVersion"},
+    {"pools", "generation"},
+    {"pools", "rolloutPaused"},
+    {"vms", "state"},
+    {"vms", "generation"},
+    {"vms", "poolVersion"},
+    {"vms", "drainVersion"},
+    {"vms", "bootsBefore"},
+}};
+
+json convertScalar(const YAML::Node &Node) {
+  const std::string &Text = Node.Scalar();
+  // A quoted scalar carries the tag "!" and stays a text.
+  if (Node.Tag() != "!") {
+    if (Text == "true" || Text == "false")
+      return Text == "true";
+    json Parsed = json::parse(Text, nullptr, false);
+    if (Parsed.is_number())
+      return Parsed;
+  }
+  return Text;
+}
+
+json convert(const YAML::Node &Node) {
+  if (Node.IsScalar())
+    return convertScalar(Node);
+  if (Node.IsSequence()) {
+    json List = json::array();
+    for (const YAML::Node &Entry : Node)
+      List.push_back(convert(Entry));
+    return List;
+  }
+  if (!Node.IsMap())
+    return json();
+  json Object = json::object();
+  for (const auto &Entry : Node) {
+    const auto Name = Entry.first.as<std::string>();
+    if (Object.contains(Name))
+      throw YAML::Exception(Entry.first.Mark(),
+                            "\"" + Name + "\" stands twice");
+    Object[Name] = convert(Entry.second);
+  }
+  return Object;
+}
+
+/// Copies what the system keeps of one entry.
+void keepFields(const std::string &Section, const json &Old, json &New) {
+  for (const KeptField &Each : KeptFields)
+    if (Section == Each.Section && Old.contains(Each.Field))
+      New[Each.Field] = Old[Each.Field];
+}
+
+/// A move of a VM goes by way of a drain.
+void turnIntoMove(const json &Old, json &New) {
+  if (Old.contains("moveTo"))
+    New["moveTo"] = Old["moveTo"];
+  if (!Old.contains("pool") || New.value("pool", "") == Old["pool"])
+    return;
+  New["moveTo"] = New["pool"];
+  New["pool"] = Old["pool"];
+}
+
+void renderInto(std::ostringstream &Out, const std::string &Path,
+                const json &Before, const json &Patch) {
+  if (!Patch.is_object()) {
+    const std::string Old = Before.is_null() ? "(none)" : Before.dump();
+    const std::string New = Patch.is_null() ? "(removed)" : Patch.dump();
+    Out << Path << ": " << Old << " -> " << New << "\n";
+    return;
+  }
+  for (const auto &[Name, Value] : Patch.items()) {
+    const json Old = Before.is_object() ? Before.value(Name, json()) : json();
+    std::string Inner = Path.empty() ? Name : Path;
+    if (!Path.empty())
+      Inner.append(".").append(Name);
+    renderInto(Out, Inner, Old, Value);
+  }
+}
+
+} // namespace
+
+Result<json> parseFleetFile(const std::string &Text) {
+  try {
+    json Document = convert(YAML::Load(Text));
+    if (!Document.is_object())
+      return makeError(ErrorKind::ConfigInvalid, "must be a map");
+    return Document;
+  } catch (const YAML::Exception &Fault) {
+    return makeError(ErrorKind::ConfigInvalid,
+                     "line " + std::to_string(Fault.mark.line + 1) + ": " +
+                         Fault.msg);
+  }
+}
+
+json planApply(const json &Current, const json &Wanted) {
+  json Target = Wanted;
+  if (Current.contains("operators") && !Target.contains("operators"))
+    Target["operators"] = Current["operators"];
+  for (auto &[Section, Entries] : Target.items()) {
+    if (!Entries.is_object() || !Current.contains(Section))
+      continue;
+    for (auto &[Name, Entry] : Entries.items()) {
+      if (!Entry.is_object() || !Current[Section].contains(Name))
+        continue;
+      keepFields(Section, Current[Section][Name], Entry);
+      if (Section == "vms")
+        turnIntoMove(Current[Section][Name], Entry);
+    }
+  }
+  return diffDocuments(Current, Target);
+}
+
+std::string renderDiff(const json &Current, const json &Patch) {
+  std::ostringstream Out;
+  renderInto(Out, "", Current, Patch);
+  return Out.str();
+}
+
+json patchAt(const std::string &Path, const std::string &Value) {
+  json Parsed = json::parse(Value, nullptr, false);
+  if (Parsed.is_discarded())
+    Parsed = Value;
+  std::istringstream Words(Path);
+  std::vector<std::string> Names;
+  for (std::string Name; std::getline(Words, Name, '.');)
+    Names.push_back(Name);
+  for (auto Name = Names.rbegin(); Name != Names.rend(); ++Name)
+    Parsed = json{{*Name, Parsed}};
+  return Parsed;
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/ctl/src/operatorclient.cpp
@@ -0,0 +1,54 @@
+#include "operatorclient.h"
+
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/request.h>
+
+namespace sardinerill {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t ConnectTimeoutMs = 2000;
+/// A change waits until it is in force everywhere.
+constexpr std::size_t AnswerTimeoutMs = 30000;
+
+} // namespace
+
+OperatorReply OperatorClient::call(const std::string &Method,
+                                   const std::string &Path,
+                                   const std::string &Query,
+                                   const std::string &Body) {
+  OperatorReply Reply;
+  try {
+    cxxtools::http::Client Client(this->Options.Address, this->Options.Port);
+    cxxtools::http::Request Request(Path);
+    Request.method(Method);
+    Request.qparams(Query);
+    Request.setHeader("Authorization", ("Bearer " + this->Options.Key).c_str());
+    Request.setHeader("Content-Type", "application/json");
+    Request.setHeader("Connection", "close");
+    Request.body() << Body;
+    Client.execute(Request, cxxtools::Milliseconds(AnswerTimeoutMs),
+                   cxxtools::Milliseconds(ConnectTimeoutMs));
+    Client.readBody();
+    Reply.Status = Client.header().httpReturnCode();
+    Reply.Text = Client.body();
+    Reply.Body = json::parse(Reply.Text, nullptr, false);
+  } catch (const std::exception &Fault) {
+    Reply.Status = 0;
+    Reply.Text = Fault.what();
+  }
+  return Reply;
+}
+
+OperatorReply OperatorClient::get(const std::string &Path,
+                                  const std::string &Query) {
+  return this->call("GET", Path, Query, "");
+}
+
+OperatorReply OperatorClient::post(const std::string &Path, const json &Body) {
+  return this->call("POST", Path, "", Body.dump());
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/escrow/include/sardinerill/escrow/escrowagent.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "sardinerill/base/ibackground.h"
+#include "sardinerill/base/metrics.h"
+#include "sardinerill/escrow/escrowledger.h"
+#include "sardinerill/escrow/grantoperation.h"
+#include "sardinerill/escrow/iescrow.h"
+#include "sardinerill/platform/platformgate.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+
+/// \file
+/// Keeps one daemon's ledgers supplied: by the table where units are free, by
+/// loans of other daemons where they are not.
+
+namespace sardinerill {
+
+/// One resource's limit.
+struct ResourceLimit {
+  ResourceId Resource;
+  unsigned Limit = 0;
+  /// Fleet version that last changed the limit. A daemon that skipped versions
+  /// sees by it that the limit was another in between.
+  std::uint64_t Version = 0;
+};
+
+/// Settings of the agent.
+struct EscrowAgentOptions {
+  DaemonId Self;
+  EscrowTimes Times;
+  /// Units that were not needed for this long go back to the table.
+  Duration GiveBackAfter = seconds(5);
+};
+
+/// All calls are made on the deciding thread.
+class EscrowAgent : public IEscrow {
+public:
+  using Changed = std::function<void(const ResourceId &)>;
+
+  EscrowAgent(EscrowAgentOptions Options, ITable &Table,
+              IBackground &Background, ILoanPeers &Peers, PlatformGate &Gate,
+              const IClock &Clock, Metrics &Figures);
+
+  std::optional<UnitSource> tryStart(const ResourceId &Resource) override;
+  void finish(const ResourceId &Resource, const UnitSource &Source) override;
+  void want(const ResourceId &Resource, unsigned Units) override;
+  unsigned available(const ResourceId &Resource) const override;
+  unsigned running(const ResourceId &Resource) const override;
+
+  /// Told when units of a resource may have become free.
+  void setChanged(Changed NewHandler) { this->Handler = std::move(NewHandler); }
+  /// Takes over every limit of fleet version \p Version; those not named are 0.
+  /// A changed limit stops own starts until the row was read again.
+  void setLimits(const std::vector<ResourceLimit> &Limits,
+                 std::uint64_t Version, EscrowTimes Times);
+  /// Expires, gives back and tries again; called a few times a second.
+  void tick();
+  /// Takes over units that a predecessor on this VM left in the table.
+  void recover(const std::function<bool(const DaemonId &)> &IsPredecessor,
+               std::function<void(bool)> Done);
+  /// Stops wanting and gives back all that is free; for a planned stop.
+  void beginGiveBack();
+  /// \returns whether nothing is held, lent or borrowed any more.
+  bool holdsNothing() const;
+
+  /// \returns one line on the state of \p Resource, for logs and failures.
+  std::string describe(const ResourceId &Resource) const;
+
+  void onLoanAsk(const DaemonId &From, std::uint64_t Ask,
+                 const ResourceId &Resource, unsigned Units);
+  void onLoanReply(const DaemonId &From, std::uint64_t Ask,
+                   const ResourceId &Resource, const LoanOffer &Offer);
+  void onLoanReturn(const ResourceId &Resource, LoanNumber Number);
+
+private:
+  struct Waiter {
+    DaemonId Borrower;
+    std::uint64_t Ask = 0;
+    unsigned Units = 0;
+    Instant Until;
+  };
+  struct Question {
+    std::uint64_t Number = 0;
+    Instant AskedAt;
+  };
+  struct State {
+    explicit State(EscrowLedger Ledger) : Ledger(std::move(Ledger)) {}
+    EscrowLedger Ledger;
+    unsigned Limit = 0;
+    std::uint64_t LimitVersion = 0;
+    GrantRow Row;
+    Revision AtLeast = 0;
+    bool RowKnown = false;
+    bool InFlight = false;
+    bool Uncertain = false;
+    unsigned Wanted = 0;
+    Instant WantedUntil{};
+    Instant NextTable{};
+    Duration TablePause{0};
+    Instant NextAsk{};
+    Duration AskPause{0};
+    std::optional<Question> Asked;
+    std::size_t LenderCursor = 0;
+    std::deque<Waiter> Waiters;
+    bool ServedWaiterLast = false;
+    unsigned Peak = 0;
+    Instant PeakSince{};
+  };
+
+  State &stateOf(const ResourceId &Resource);
+  void advance(const ResourceId &Resource, State &Current);
+  bool tableMayHelp(const State &Current) const;
+  unsigned raiseFor(const State &Current) const;
+  void startOperation(const ResourceId &Resource, State &Current,
+                      GrantOperation Wanted, CallPriority Priority);
+  void endOperation(const ResourceId &Resource, const GrantOutcome &Outcome);
+  void askForLoan(const ResourceId &Resource, State &Current);
+  std::optional<DaemonId> nextLender(State &Current) const;
+  LoanOffer offer(State &Current, unsigned Units);
+  void serveWaiters(const ResourceId &Resource, State &Current);
+  void dropLateWaiters(const ResourceId &Resource, State &Current);
+  void giveBackIdle(const ResourceId &Resource, State &Current);
+  void returnLoans(const ResourceId &Resource,
+                   const std::vector<LoanId> &Loans);
+  void notify(const ResourceId &Resource);
+
+  EscrowAgentOptions Options;
+  ITable &Table;
+  IBackground &Background;
+  ILoanPeers &Peers;
+  PlatformGate &Gate;
+  const IClock &Clock;
+  Metrics &Figures;
+  Changed Handler;
+  std::map<ResourceId, State> Resources;
+  std::uint64_t NextAskNumber = 1;
+  bool GivingBack = false;
+};
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/escrow/src/escrowledger.cpp
@@ -0,0 +1,138 @@
+#include "sardinerill/escrow/escrowledger.h"
+
+#include <algorithm>
+
+namespace sardinerill {
+
+unsigned EscrowLedger::committed() const {
+  unsigned Total = this->RunningOwn;
+  for (const auto &[Number, Loan] : this->LentOut)
+    Total += Loan.Units;
+  return Total;
+}
+
+unsigned EscrowLedger::running() const {
+  unsigned Total = this->RunningOwn;
+  for (const auto &[Id, Loan] : this->Loans)
+    Total += Loan.Running;
+  return Total;
+}
+
+unsigned EscrowLedger::freeOwn() const {
+  if (this->Frozen)
+    return 0;
+  const unsigned Cap = std::min(this->Granted, this->Target);
+  const unsigned Used = this->committed();
+  return Cap > Used ? Cap - Used : 0;
+}
+
+unsigned EscrowLedger::available(Instant Now) const {
+  unsigned Total = this->freeOwn();
+  for (const auto &[Id, Loan] : this->Loans)
+    if (Now < Loan.StartUntil)
+      Total += Loan.Units - Loan.Running;
+  return Total;
+}
+
+std::optional<UnitSource> EscrowLedger::tryStart(Instant Now) {
+  if (this->freeOwn() > 0) {
+    ++this->RunningOwn;
+    return UnitSource{};
+  }
+  for (auto &[Id, Loan] : this->Loans) {
+    if (Now >= Loan.StartUntil || Loan.Running >= Loan.Units)
+      continue;
+    ++Loan.Running;
+    return UnitSource{Id};
+  }
+  return std::nullopt;
+}
+
+void EscrowLedger::finish(const UnitSource &Source) {
+  if (Source.isOwn()) {
+    --this->RunningOwn;
+    return;
+  }
+  auto Loan = this->Loans.find(Source.Loan);
+  if (Loan != this->Loans.end() && Loan->second.Running > 0)
+    --Loan->second.Running;
+}
+
+void EscrowLedger::freeze(Instant Now) {
+  this->Frozen = true;
+  for (auto &[Id, Loan] : this->Loans)
+    Loan.StartUntil = std::min(Loan.StartUntil, Now);
+}
+
+LoanOffer EscrowLedger::lend(unsigned Wanted, Instant Now) {
+  const unsigned Units = std::min(Wanted, this->freeOwn());
+  const LoanId Id{this->Self, ++this->LastLoan};
+  if (Units > 0)
+    this->LentOut.emplace(Id.Number,
+                          Lent{Units, Now + this->Times.settleTime()});
+  return LoanOffer{Id, Units, this->Times.LoanWindow, 0};
+}
+
+void EscrowLedger::acceptLoan(const LoanOffer &Offer, Instant AskedAt) {
+  if (Offer.Units == 0)
+    return;
+  // A second delivery of the same offer must not double it.
+  this->Loans.emplace(Offer.Id,
+                      Borrowed{Offer.Units, 0, AskedAt + Offer.Window});
+}
+
+void EscrowLedger::loanReturned(LoanNumber Number) {
+  this->LentOut.erase(Number);
+}
+
+std::vector<LoanId> EscrowLedger::expire(Instant Now) {
+  std::erase_if(this->LentOut, [&](const auto &Entry) {
+    return Now >= Entry.second.ReturnAt;
+  });
+  std::vector<LoanId> Over;
+  for (const auto &[Id, Loan] : this->Loans)
+    if (Now >= Loan.StartUntil && Loan.Running == 0)
+      Over.push_back(Id);
+  for (const LoanId &Id : Over)
+    this->Loans.erase(Id);
+  return Over;
+}
+
+std::vector<LoanId> EscrowLedger::returnIdleLoans() {
+  std::vector<LoanId> Over;
+  for (const auto &[Id, Loan] : this->Loans)
+    if (Loan.Running == 0)
+      Over.push_back(Id);
+  for (const LoanId &Id : Over)
+    this->Loans.erase(Id);
+  return Over;
+}
+
+void EscrowLedger::applyGrant(const Grant &Confirmed) {
+  this->Granted = Confirmed.Units;
+  this->Target = Confirmed.Target;
+  this->Frozen = false;
+}
+
+void EscrowLedger::applyInherited(unsigned Units, Instant Now) {
+  if (Units == 0)
+    return;
+  this->LentOut.emplace(++this->LastLoan,
+                        Lent{Units, Now + this->Times.settleTime()});
+}
+
+std::optional<unsigned> EscrowLedger::prepareLowering(unsigned Keep) {
+  const unsigned Cap = std::min(this->Granted, this->Target);
+  const unsigned Lowered = std::max(this->committed(), std::min(Cap, Keep));
+  if (Lowered >= this->Granted)
+    return std::nullopt;
+  this->Granted = Lowered;
+  this->Target = std::min(this->Target, Lowered);
+  return Lowered;
+}
+
+bool EscrowLedger::isIdle() const {
+  return this->Granted == 0 && this->committed() == 0 && this->Loans.empty();
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/escrow/src/grantoperation.cpp
@@ -0,0 +1,114 @@
+#include "sardinerill/escrow/grantoperation.h"
+
+namespace sardinerill {
+
+namespace {
+
+constexpr unsigned MaxConflicts = 6;
+const std::string TableName = "escrow";
+
+GrantRow applied(const GrantRow &Row, const GrantOperation &Wanted) {
+  GrantRow Changed = Row;
+  if (Wanted.LimitVersion > 0)
+    Changed = withLimit(Row, Wanted.Limit, Wanted.LimitVersion);
+  if (!Wanted.InheritFrom.empty())
+    Changed = withInherited(Changed, Wanted.InheritFrom, Wanted.Self);
+  if (Wanted.LowerTo)
+    Changed = withLowered(Changed, Wanted.Self, *Wanted.LowerTo);
+  return withRaised(Changed, Wanted.Self, Wanted.RaiseBy);
+}
+
+Result<GrantRow> decodeRow(const Row &Read) {
+  if (Read.Rev == 0)
+    return GrantRow{};
+  return decodeGrantRow(Read.Value);
+}
+
+Result<CommitOutcome> writeRow(ITable &Table, const Row &Read,
+                               const GrantRow &Changed) {
+  return commitSettled(Table,
+                       Transaction{makeWriteId(),
+                                   {{Read.Key, Read.Rev}},
+                                   {{Read.Key, encodeGrantRow(Changed)}}});
+}
+
+} // namespace
+
+RowKey grantRowKey(const ResourceId &Resource) {
+  return RowKey{TableName, Resource.str()};
+}
+
+GrantOutcome runGrantOperation(ITable &Table, const GrantOperation &Wanted) {
+  GrantOutcome Outcome;
+  while (Outcome.Conflicts < MaxConflicts) {
+    Result<std::vector<Row>> Read = Table.read({grantRowKey(Wanted.Resource)});
+    if (!Read)
+      return Outcome;
+    const Row &Current = Read->front();
+    Result<GrantRow> Decoded = decodeRow(Current);
+    if (!Decoded)
+      return Outcome;
+    const GrantRow Changed = applied(*Decoded, Wanted);
+    if (Changed == *Decoded && !Wanted.ForceWrite) {
+      Outcome.Certain = true;
+      Outcome.Row = Changed;
+      Outcome.AtLeast = Current.Rev;
+      return Outcome;
+    }
+    Result<CommitOutcome> Written = writeRow(Table, Current, Changed);
+    if (!Written)
+      return Outcome;
+    if (*Written == CommitOutcome::Committed) {
+      Outcome.Certain = true;
+      Outcome.Row = Changed;
+      Outcome.AtLeast = Current.Rev + 1;
+      return Outcome;
+    }
+    ++Outcome.Conflicts;
+  }
+  return Outcome;
+}
+
+Result<std::vector<LeftBehind>>
+findHoldings(ITable &Table,
+             const std::function<bool(const DaemonId &)> &Matches) {
+  Result<std::vector<Row>> Rows = Table.scan(TableName);
+  if (!Rows)
+    return tl::unexpected(Rows.error());
+  std::vector<LeftBehind> Found;
+  for (const Row &Read : *Rows) {
+    Result<GrantRow> Decoded = decodeGrantRow(Read.Value);
+    if (!Decoded)
+      continue;
+    for (const Grant &Entry : Decoded->Grants)
+      if (Matches(Entry.Holder))
+        Found.push_back(
+            LeftBehind{ResourceId(Read.Key.Key), Entry.Holder, Entry.Units});
+  }
+  return Found;
+}
+
+Result<unsigned> reclaimAll(ITable &Table, const DaemonId &Gone) {
+  Result<std::vector<Row>> Rows = Table.scan(TableName);
+  if (!Rows)
+    return tl::unexpected(Rows.error());
+  unsigned Reclaimed = 0;
+  for (const Row &Read : *Rows) {
+    Result<GrantRow> Decoded = decodeGrantRow(Read.Value);
+    if (!Decoded)
+      continue;
+    const unsigned Units = grantOf(*Decoded, Gone).Units;
+    const GrantRow Changed = withReclaimed(*Decoded, Gone);
+    if (Changed == *Decoded)
+      continue;
+    Result<CommitOutcome> Written = writeRow(Table, Read, Changed);
+    if (!Written)
+      return tl::unexpected(Written.error());
+    if (*Written == CommitOutcome::Conflict)
+      return makeError(ErrorKind::VersionConflict, Read.Key.Key);
+    Reclaimed += Units;
+  }
+  return Reclaimed;
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/fleet/src/fieldreader.cpp
@@ -0,0 +1,127 @@
+#include "fieldreader.h"
+
+namespace sardinerill {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t MaxNameBytes = 100;
+
+bool isPlainName(const std::string &Name) {
+  if (Name.empty() || Name.size() > MaxNameBytes)
+    return false;
+  for (unsigned char Byte : Name)
+    if (std::isalnum(Byte) == 0 && Byte != '-' && Byte != '_' && Byte != '.')
+      return false;
+  return true;
+}
+
+} // namespace
+
+FieldReader::FieldReader(const json &Object, std::string Path,
+                         FaultList &Faults)
+    : Object(Object), Path(std::move(Path)), Faults(Faults) {
+  if (!Object.is_object())
+    this->Faults.add(this->Path.empty() ? "document" : this->Path,
+                     "must be an object");
+}
+
+FieldReader::~FieldReader() {
+  if (!this->Object.is_object())
+    return;
+  for (const auto &[Name, Value] : this->Object.items())
+    if (!this->Taken.contains(Name))
+      this->fault(Name, "is not known");
+}
+
+std::string FieldReader::pathOf(const std::string &Name) const {
+  return this->Path.empty() ? Name : this->Path + "." + Name;
+}
+
+void FieldReader::fault(const std::string &Name, const std::string &What) {
+  this->Faults.add(this->pathOf(Name), What);
+}
+
+const json *FieldReader::take(const char *Name) {
+  this->Taken.insert(Name);
+  if (!this->Object.is_object())
+    return nullptr;
+  auto Found = this->Object.find(Name);
+  return Found == this->Object.end() ? nullptr : &*Found;
+}
+
+unsigned FieldReader::number(const char *Name, std::uint64_t Low,
+                             std::uint64_t High,
+                             std::optional<unsigned> Default) {
+  const json *Value = this->take(Name);
+  if (Value == nullptr) {
+    if (!Default)
+      this->fault(Name, "is missing");
+    return Default.value_or(0);
+  }
+  const bool Whole = Value->is_number_unsigned() ||
+                     (Value->is_number_integer() && *Value >= 0);
+  const std::uint64_t Number = Whole ? Value->get<std::uint64_t>() : 0;
+  if (!Whole || Number < Low || Number > High) {
+    this->fault(Name, "must be a whole number from " + std::to_string(Low) +
+                          " to " + std::to_string(High));
+    return Default.value_or(0);
+  }
+  return static_cast<unsigned>(Number);
+}
+
+std::string FieldReader::text(const char *Name,
+                              std::optional<std::string> Default) {
+  const json *Value = this->take(Name);
+  if (Value == nullptr) {
+    if (!Default)
+      this->fault(Name, "is missing");
+    return Default.value_or("");
+  }
+  if (!Value->is_string()) {
+    this->fault(Name, "must be a text");
+    return Default.value_or("");
+  }
+  return Value->get<std::string>();
+}
+
+bool FieldReader::flag(const char *Name, bool Default) {
+  const json *Value = this->take(Name);
+  if (Value == nullptr)
+    return Default;
+  if (!Value->is_boolean()) {
+    this->fault(Name, "must be true or false");
+    return Default;
+  }
+  return Value->get<bool>();
+}
+
+void FieldReader::eachMember(const char *Name, const Visit &Do) {
+  const json *Section = this->take(Name);
+  if (Section == nullptr)
+    return;
+  if (!Section->is_object()) {
+    this->fault(Name, "must be an object");
+    return;
+  }
+  for (const auto &[Member, Value] : Section->items()) {
+    const std::string MemberPath = this->pathOf(Name) + "." + Member;
+    if (!isPlainName(Member))
+      this->Faults.add(MemberPath, "is not a plain name of up to 100 letters, "
+                                   "digits, '-', '_' or '.'");
+    FieldReader Entry(Value, MemberPath, this->Faults);
+    Do(Entry, Member);
+  }
+}
+
+void FieldReader::member(const char *Name,
+                         const std::function<void(FieldReader &)> &Do) {
+  const json *Value = this->take(Name);
+  if (Value == nullptr)
+    return;
+  FieldReader Entry(*Value, this->pathOf(Name), this->Faults);
+  Do(Entry);
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/gateway/src/operatordoor.cpp
@@ -0,0 +1,146 @@
+#include "sardinerill/gateway/operatordoor.h"
+
+#include "sardinerill/gateway/problem.h"
+
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/http/responder.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/http/service.h>
+#include <cxxtools/regex.h>
+#include <istream>
+#include <ostream>
+#include <thread>
+#include <vector>
+
+namespace sardinerill {
+
+namespace {
+
+constexpr unsigned MinThreads = 2;
+constexpr std::size_t ReadTimeoutMs = 5000;
+constexpr std::string_view BearerPrefix = "Bearer ";
+
+/// Reads one request with a bounded body and answers it.
+class OperatorResponder : public cxxtools::http::Responder {
+public:
+  OperatorResponder(cxxtools::http::Service &Owner, IOperations &Operations,
+                    std::size_t MaxBodyBytes)
+      : Responder(Owner), Operations(Operations), MaxBodyBytes(MaxBodyBytes) {}
+
+  void beginRequest(cxxtools::net::TcpSocket &, std::istream &,
+                    cxxtools::http::Request &) override {
+    this->Body.clear();
+    this->TooLarge = false;
+  }
+
+  std::size_t readBody(std::istream &In) override {
+    const std::streamsize Ready = In.rdbuf()->in_avail();
+    std::vector<char> Part(Ready > 0 ? static_cast<std::size_t>(Ready) : 0);
+    In.read(Part.data(), Ready);
+    const auto Got = static_cast<std::size_t>(In.gcount());
+    // The rest is read and dropped, so that the answer can be sent.
+    if (this->Body.size() + Got > this->MaxBodyBytes)
+      this->TooLarge = true;
+    else
+      this->Body.append(Part.data(), Got);
+    return Got;
+  }
+
+  void reply(std::ostream &Out, cxxtools::http::Request &Request,
+             cxxtools::http::Reply &Reply) override {
+    const OperatorAnswer Answer = this->answer(Request);
+    Reply.httpReturn(Answer.Status, Answer.Status < 400 ? "OK" : "Error");
+    Reply.setHeader("Content-Type", Answer.ContentType.c_str());
+    Out << Answer.Body;
+  }
+
+private:
+  OperatorAnswer answer(cxxtools::http::Request &Request) {
+    if (this->TooLarge)
+      return {413, ProblemContentType,
+              renderProblem({ErrorKind::BodyTooLarge, "the body is too large"},
+                            {})};
+    OperatorCall Call;
+    Call.Method = Request.method();
+    Call.Path = Request.url();
+    Call.Query = Request.qparams();
+    Call.Body = this->Body;
+    const char *Credentials = Request.getHeader("Authorization");
+    if (Credentials != nullptr &&
+        std::string_view(Credentials).starts_with(BearerPrefix))
+      Call.Key = Credentials + BearerPrefix.size();
+    return this->Operations.handle(Call);
+  }
+
+  IOperations &Operations;
+  std::size_t MaxBodyBytes;
+  std::string Body;
+  bool TooLarge = false;
+};
+
+/// Makes a responder for each request.
+class OperatorService : public cxxtools::http::Service {
+public:
+  OperatorService(IOperations &Operations, std::size_t MaxBodyBytes)
+      : Operations(Operations), MaxBodyBytes(MaxBodyBytes) {}
+
+protected:
+  cxxtools::http::Responder *
+  createResponder(const cxxtools::http::Request &) override {
+    return new OperatorResponder(*this, this->Operations, this->MaxBodyBytes);
+  }
+  void releaseResponder(cxxtools::http::Responder *Done) override {
+    delete Done;
+  }
+
+private:
+  IOperations &Operations;
+  std::size_t MaxBodyBytes;
+};
+
+} // namespace
+
+struct OperatorDoor::Impl {
+  OperatorDoorOptions Options;
+  OperatorService Service;
+  cxxtools::EventLoop Loop;
+  std::unique_ptr<cxxtools::http::Server> Server;
+  std::thread Runner;
+
+  Impl(OperatorDoorOptions Options, IOperations &Operations)
+      : Options(std::move(Options)),
+        Service(Operations, this->Options.MaxBodyBytes) {}
+};
+
+OperatorDoor::OperatorDoor(OperatorDoorOptions Options, IOperations &Operations)
+    : Inner(std::make_unique<Impl>(std::move(Options), Operations)) {}
+
+OperatorDoor::~OperatorDoor() { this->close(); }
+
+std::string OperatorDoor::open() {
+  try {
+    Impl &Door = *this->Inner;
+    Door.Server = std::make_unique<cxxtools::http::Server>(
+        Door.Loop, Door.Options.Address, Door.Options.Port);
+    Door.Server->minThreads(MinThreads);
+    Door.Server->maxThreads(Door.Options.MaxThreads);
+    Door.Server->readTimeout(cxxtools::Milliseconds(ReadTimeoutMs));
+    Door.Server->addService(cxxtools::Regex(".*"), Door.Service);
+    Door.Runner = std::thread([&Door] { Door.Loop.run(); });
+    return "";
+  } catch (const std::exception &Fault) {
+    return Fault.what();
+  }
+}
+
+void OperatorDoor::close() {
+  if (!this->Inner->Runner.joinable())
+    return;
+  this->Inner->Loop.exit();
+  this->Inner->Runner.join();
+  this->Inner->Server.reset();
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/membership/src/membership.cpp
@@ -0,0 +1,293 @@
+#include "sardinerill/membership/membership.h"
+
+#include <algorithm>
+
+namespace sardinerill {
+
+namespace {
+
+/// The contact rides along on every so many heartbeats.
+constexpr std::uint64_t ContactEvery = 8;
+constexpr std::uint64_t ContactAtStart = 5;
+constexpr std::size_t MaxOutstanding = 16;
+/// A silent member that this many rosters in a row lack has signed off.
+constexpr unsigned RostersToForget = 2;
+/// Silent members are still asked now and then, so that they can come back.
+constexpr unsigned SilentOneIn = 4;
+
+bool isOlderIncarnation(const DaemonId &A, const DaemonId &B) {
+  const DaemonName NameA = daemonNameOf(A);
+  const DaemonName NameB = daemonNameOf(B);
+  return NameA.Vm == NameB.Vm && NameA.Incarnation < NameB.Incarnation;
+}
+
+bool sendsContact(std::uint64_t Heartbeat) {
+  return Heartbeat <= ContactAtStart || Heartbeat % ContactEvery == 0;
+}
+
+} // namespace
+
+Membership::Membership(DaemonId Self, Contact Where, GossipOptions Options)
+    : Self(std::move(Self)), Where(std::move(Where)), Options(Options) {}
+
+GossipEntry Membership::ownEntry(Instant Now) const {
+  GossipEntry Entry{this->Self, Duration(0), this->Own, {}};
+  if (this->ProvenAt)
+    Entry.Report.EvidenceAge = Now - *this->ProvenAt;
+  if (sendsContact(this->Own.Heartbeat))
+    Entry.Where = this->Where;
+  return Entry;
+}
+
+std::vector<GossipEntry> Membership::entriesFor(const DaemonId &To,
+                                                Instant Now) {
+  std::vector<GossipEntry> Entries{this->ownEntry(Now)};
+  std::vector<const Member *> Heard;
+  for (const auto &[Id, Other] : this->Others)
+    if (Other.WasHeard && Id != To)
+      Heard.push_back(&Other);
+  const std::size_t Count =
+      std::min(Heard.size(), this->Options.EntriesPerMessage);
+  for (std::size_t Step = 0; Step < Count; ++Step) {
+    const Member &Other = *Heard[this->RelayCursor++ % Heard.size()];
+    GossipEntry Entry{Other.Id, Now - Other.AsOf, Other.Report, {}};
+    if (sendsContact(Other.Report.Heartbeat))
+      Entry.Where = Other.Where;
+    Entries.push_back(std::move(Entry));
+  }
+  return Entries;
+}
+
+std::optional<OutgoingGossip> Membership::tick(Instant Now,
+                                               std::mt19937_64 &Random) {
+  ++this->Own.Heartbeat;
+  if (this->Others.empty())
+    return std::nullopt;
+  std::vector<DaemonId> Heard = this->alive(Now);
+  std::vector<DaemonId> Silent;
+  for (const auto &[Id, Other] : this->Others)
+    if (std::find(Heard.begin(), Heard.end(), Id) == Heard.end())
+      Silent.push_back(Id);
+  const bool AskSilent =
+      !Silent.empty() && (Heard.empty() || Random() % SilentOneIn == 0);
+  const std::vector<DaemonId> &From = AskSilent ? Silent : Heard;
+  const DaemonId To = From[Random() % From.size()];
+  const std::uint64_t Nonce = this->NextNonce++;
+  this->Outstanding[Nonce] = Asked{Now, To};
+  if (this->Outstanding.size() > MaxOutstanding)
+    this->Outstanding.erase(this->Outstanding.begin());
+  return OutgoingGossip{
+      To, Gossip{Nonce, this->NewestHeard, this->entriesFor(To, Now)}};
+}
+
+GossipReply Membership::answer(const DaemonId &From, const Gossip &Message,
+                               Instant Now) {
+  // A pushed message may have waited in a buffer for any time, so it brings
+  // names and heartbeats but proves nothing about the present.
+  this->NewestHeard = std::max(this->NewestHeard, Message.Newest);
+  for (const GossipEntry &Entry : Message.Entries)
+    this->merge(Entry, Instant{}, Now);
+  return GossipReply{Message.Nonce, this->NewestHeard,
+                     this->entriesFor(From, Now)};
+}
+
+void Membership::receive(const GossipReply &Message, Instant Now) {
+  auto Question = this->Outstanding.find(Message.Nonce);
+  if (Question == this->Outstanding.end())
+    return;
+  const Instant AskedAt = Question->second.At;
+  this->Outstanding.erase(Question);
+  this->NewestHeard = std::max(this->NewestHeard, Message.Newest);
+  for (const GossipEntry &Entry : Message.Entries) {
+    const bool Dated = Entry.Age < Duration(AskedAt.time_since_epoch());
+    const Instant AsOf = Dated ? AskedAt - Entry.Age : Instant{};
+    this->merge(Entry, AsOf, Now);
+    this->takeEvidence(Entry, AsOf);
+  }
+}
+
+bool Membership::isSuperseded(const DaemonId &Id) const {
+  return std::any_of(
+      this->Others.begin(), this->Others.end(),
+      [&](const auto &Entry) { return isOlderIncarnation(Id, Entry.first); });
+}
+
+void Membership::merge(const GossipEntry &Entry, Instant AsOf, Instant Now) {
+  this->NewestHeard = std::max(this->NewestHeard, Entry.Report.Version);
+  if (Entry.Id == this->Self || isOlderIncarnation(Entry.Id, this->Self))
+    return;
+  auto Known = this->Others.find(Entry.Id);
+  if (Known == this->Others.end()) {
+    if (Entry.Where.Address.empty() || this->isSuperseded(Entry.Id))
+      return;
+    std::erase_if(this->Others, [&](const auto &Other) {
+      return isOlderIncarnation(Other.first, Entry.Id);
+    });
+    Known = this->Others.emplace(Entry.Id, Member{Entry.Id, Entry.Where}).first;
+  }
+  Member &Other = Known->second;
+  const bool Newer = Entry.Report.Heartbeat > Other.Report.Heartbeat;
+  if (Newer || !Other.WasHeard) {
+    Other.Report = Entry.Report;
+    Other.HeardAt = Now;
+    Other.WasHeard = true;
+    this->rebuildLoads();
+  }
+  if (Entry.Report.Heartbeat >= Other.Report.Heartbeat)
+    Other.AsOf = std::max(Other.AsOf, AsOf);
+}
+
+void Membership::rebuildLoads() {
+  this->LoadsElsewhere.clear();
+  for (const auto &[Id, Other] : this->Others)
+    for (const TeamRunning &Load : Other.Report.Loads)
+      this->LoadsElsewhere[LoadKey{Load.Pool, Load.Team}] += Load.Running;
+}
+
+void Membership::takeEvidence(const GossipEntry &Entry, Instant AsOf) {
+  const Duration Age = Entry.Report.EvidenceAge;
+  if (Entry.Report.Version != this->Own.Version || Age == Duration::max() ||
+      AsOf == Instant{})
+    return;
+  const Instant Proven = AsOf - Age;
+  if (!this->ProvenAt || Proven > *this->ProvenAt)
+    this->ProvenAt = Proven;
+}
+
+void Membership::learnRoster(const std::map<DaemonId, Contact> &Roster,
+                             Instant Now) {
+  for (auto &[Id, Other] : this->Others)
+    Other.MissingFromRoster =
+        Roster.contains(Id) ? 0 : Other.MissingFromRoster + 1;
+  std::erase_if(this->Others, [&](const auto &Entry) {
+    const Member &Other = Entry.second;
+    const bool Silent =
+        !Other.WasHeard || Now - Other.HeardAt >= this->Options.SilentAfter;
+    return Silent && Other.MissingFromRoster >= RostersToForget;
+  });
+  for (const auto &Entry : Roster) {
+    const DaemonId &Id = Entry.first;
+    if (Id == this->Self || isOlderIncarnation(Id, this->Self) ||
+        this->isSuperseded(Id))
+      continue;
+    std::erase_if(this->Others, [&](const auto &Other) {
+      return isOlderIncarnation(Other.first, Id);
+    });
+    auto [Known, Fresh] = this->Others.emplace(Id, Member{Id, Entry.second});
+    if (!Fresh)
+      Known->second.Where = Entry.second;
+  }
+}
+
+void Membership::forget(const DaemonId &Gone) {
+  this->Others.erase(Gone);
+  this->rebuildLoads();
+}
+
+void Membership::setVersion(FleetVersion Version) {
+  if (Version <= this->Own.Version)
+    return;
+  this->Own.Version = Version;
+  this->NewestHeard = std::max(this->NewestHeard, Version);
+  this->ProvenAt.reset();
+}
+
+void Membership::setBusyDraining(std::vector<VmId> Busy) {
+  this->Own.BusyDraining = std::move(Busy);
+}
+
+void Membership::setLoads(std::vector<TeamRunning> Loads) {
+  std::sort(Loads.begin(), Loads.end(),
+            [](const TeamRunning &A, const TeamRunning &B) {
+              return A.Running > B.Running;
+            });
+  if (Loads.size() > this->Options.LoadsPerReport)
+    Loads.resize(this->Options.LoadsPerReport);
+  this->Own.Loads = std::move(Loads);
+}
+
+void Membership::proveNewest(FleetVersion Version, Instant AskedAt) {
+  this->NewestHeard = std::max(this->NewestHeard, Version);
+  if (Version != this->Own.Version)
+    return;
+  if (!this->ProvenAt || AskedAt > *this->ProvenAt)
+    this->ProvenAt = AskedAt;
+}
+
+void Membership::noteVersion(const DaemonId &From, FleetVersion Version) {
+  this->NewestHeard = std::max(this->NewestHeard, Version);
+  auto Known = this->Others.find(From);
+  if (Known == this->Others.end())
+    return;
+  FleetVersion &Acked = Known->second.AckedVersion;
+  Acked = std::max(Acked, Version);
+}
+
+Instant Membership::freshSince() const {
+  if (this->NewestHeard > this->Own.Version)
+    return Instant{};
+  Instant AllHeard = Instant::max();
+  for (const auto &[Id, Other] : this->Others)
+    AllHeard = std::min(AllHeard, Other.AsOf);
+  // A daemon that knows of nobody else has not thereby asked everybody.
+  if (this->Others.empty())
+    AllHeard = Instant{};
+  return std::max(this->ProvenAt.value_or(Instant{}), AllHeard);
+}
+
+std::vector<DaemonId> Membership::pendingFor(FleetVersion Version) const {
+  std::vector<DaemonId> Pending;
+  if (this->Own.Version < Version)
+    Pending.push_back(this->Self);
+  for (const auto &[Id, Other] : this->Others)
+    if (std::max(Other.Report.Version, Other.AckedVersion) < Version)
+      Pending.push_back(Id);
+  return Pending;
+}
+
+std::vector<DaemonId> Membership::busyOn(const VmId &Vm,
+                                         FleetVersion Version) const {
+  std::vector<DaemonId> Busy;
+  auto IsBusy = [&](const MemberReport &Report) {
+    const auto &List = Report.BusyDraining;
+    return Report.Version < Version ||
+           std::find(List.begin(), List.end(), Vm) != List.end();
+  };
+  if (IsBusy(this->Own))
+    Busy.push_back(this->Self);
+  for (const auto &[Id, Other] : this->Others)
+    if (IsBusy(Other.Report))
+      Busy.push_back(Id);
+  return Busy;
+}
+
+unsigned Membership::runningElsewhere(const PoolId &Pool,
+                                      const TeamId &Team) const {
+  auto Found = this->LoadsElsewhere.find(LoadKey{Pool, Team});
+  return Found == this->LoadsElsewhere.end() ? 0 : Found->second;
+}
+
+std::vector<DaemonId> Membership::alive(Instant Now) const {
+  std::vector<DaemonId> Heard;
+  for (const auto &[Id, Other] : this->Others)
+    if (Other.WasHeard && Now - Other.HeardAt < this->Options.SilentAfter)
+      Heard.push_back(Id);
+  return Heard;
+}
+
+std::optional<Contact> Membership::contactOf(const DaemonId &Id) const {
+  auto Found = this->Others.find(Id);
+  if (Found == this->Others.end())
+    return std::nullopt;
+  return Found->second.Where;
+}
+
+unsigned Membership::aliveInZone(const ZoneId &Zone, Instant Now) const {
+  unsigned Count = this->Where.Zone == Zone ? 1 : 0;
+  for (const DaemonId &Id : this->alive(Now))
+    if (this->Others.at(Id).Where.Zone == Zone)
+      ++Count;
+  return Count;
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/membership/src/peermessages.cpp
@@ -0,0 +1,232 @@
+#include "sardinerill/membership/peermessages.h"
+
+#include <array>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace sardinerill {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t CodeBytes = 16;
+constexpr std::size_t MaxListLength = 4096;
+constexpr std::uint64_t UnknownAgeMs = UINT32_MAX;
+constexpr std::uint64_t MaxAgeMs = 7ULL * 24 * 3600 * 1000;
+
+std::uint64_t encodeAge(Duration Age) {
+  const auto Ms = std::chrono::duration_cast<milliseconds>(Age).count();
+  if (Ms < 0)
+    return 0;
+  return std::uint64_t(Ms) > MaxAgeMs ? UnknownAgeMs : std::uint64_t(Ms);
+}
+
+Duration decodeAge(const json &Value) {
+  const auto Ms = Value.get<std::uint64_t>();
+  if (Ms > MaxAgeMs)
+    return Duration::max();
+  // Rounded up: an age must never come out younger than it is.
+  return milliseconds(Ms + 1);
+}
+
+const json &checkedList(const json &Value) {
+  // type_error 302 is what the library throws for a wrong type.
+  if (!Value.is_array() || Value.size() > MaxListLength)
+    throw json::type_error::create(302, "a short list is expected", &Value);
+  return Value;
+}
+
+json encodeEntry(const GossipEntry &Entry) {
+  json Busy = json::array();
+  for (const VmId &Vm : Entry.Report.BusyDraining)
+    Busy.push_back(Vm.str());
+  json Loads = json::array();
+  for (const TeamRunning &Load : Entry.Report.Loads) {
+    Loads.push_back(Load.Pool.str());
+    Loads.push_back(Load.Team.str());
+    Loads.push_back(Load.Running);
+  }
+  json Item{Entry.Id.str(),
+            encodeAge(Entry.Age),
+            Entry.Report.Heartbeat,
+            Entry.Report.Version,
+            encodeAge(Entry.Report.EvidenceAge),
+            Busy,
+            Loads};
+  if (!Entry.Where.Address.empty()) {
+    Item.push_back(Entry.Where.Zone.str());
+    Item.push_back(Entry.Where.Address);
+    Item.push_back(Entry.Where.Port);
+  }
+  return Item;
+}
+
+GossipEntry decodeEntry(const json &Item) {
+  GossipEntry Entry;
+  Entry.Id = DaemonId(Item.at(0).get<std::string>());
+  Entry.Age = decodeAge(Item.at(1));
+  Entry.Report.Heartbeat = Item.at(2).get<std::uint64_t>();
+  Entry.Report.Version = Item.at(3).get<FleetVersion>();
+  Entry.Report.EvidenceAge = decodeAge(Item.at(4));
+  for (const json &Vm : checkedList(Item.at(5)))
+    Entry.Report.BusyDraining.emplace_back(Vm.get<std::string>());
+  const json &Loads = checkedList(Item.at(6));
+  for (std::size_t Index = 0; Index + 2 < Loads.size(); Index += 3)
+    Entry.Report.Loads.push_back(
+        TeamRunning{PoolId(Loads[Index].get<std::string>()),
+                    TeamId(Loads[Index + 1].get<std::string>()),
+                    Loads[Index + 2].get<unsigned>()});
+  if (Item.size() > 7)
+    Entry.Where = Contact{ZoneId(Item.at(7).get<std::string>()),
+                          Item.at(8).get<std::string>(),
+                          Item.at(9).get<unsigned short>()};
+  return Entry;
+}
+
+json encodeEntries(const std::vector<GossipEntry> &Entries) {
+  json List = json::array();
+  for (const GossipEntry &Entry : Entries)
+    List.push_back(encodeEntry(Entry));
+  return List;
+}
+
+std::vector<GossipEntry> decodeEntries(const json &List) {
+  std::vector<GossipEntry> Entries;
+  for (const json &Item : checkedList(List))
+    Entries.push_back(decodeEntry(Item));
+  return Entries;
+}
+
+/// Turns each message into its list of fields.
+struct EncodeFields {
+  json operator()(const Gossip &M) const {
+    return json{M.Nonce, M.Newest, encodeEntries(M.Entries)};
+  }
+  json operator()(const GossipReply &M) const {
+    return json{M.Nonce, M.Newest, encodeEntries(M.Entries)};
+  }
+  json operator()(const VersionHint &M) const {
+    return json::array({M.Version});
+  }
+  json operator()(const VersionAck &M) const {
+    return json::array({M.Version});
+  }
+  json operator()(const LoanAsk &M) const {
+    return json{M.Ask, M.Resource.str(), M.Units};
+  }
+  json operator()(const LoanReply &M) const {
+    return json{M.Ask,
+                M.Resource.str(),
+                M.Offer.Id.Lender.str(),
+                M.Offer.Id.Number,
+                M.Offer.Units,
+                M.Offer.Window.count(),
+                M.Offer.LimitVersion};
+  }
+  json operator()(const LoanReturn &M) const {
+    return json{M.Resource.str(), M.Number};
+  }
+  json operator()(const FleetAsk &M) const { return json::array({M.Known}); }
+  json operator()(const FleetReply &M) const {
+    return json{M.Version, M.Document};
+  }
+};
+
+using DecodeFields = PeerMessage (*)(const json &);
+
+/// One decoder for each alternative of PeerMessage, in its order.
+constexpr std::array<DecodeFields, std::variant_size_v<PeerMessage>> Decoders{
+    [](const json &F) -> PeerMessage {
+      return Gossip{F.at(0).get<std::uint64_t>(), F.at(1).get<FleetVersion>(),
+                    decodeEntries(F.at(2))};
+    },
+    [](const json &F) -> PeerMessage {
+      return GossipReply{F.at(0).get<std::uint64_t>(),
+                         F.at(1).get<FleetVersion>(), decodeEntries(F.at(2))};
+    },
+    [](const json &F) -> PeerMessage {
+      return VersionHint{F.at(0).get<FleetVersion>()};
+    },
+    [](const json &F) -> PeerMessage {
+      return VersionAck{F.at(0).get<FleetVersion>()};
+    },
+    [](const json &F) -> PeerMessage {
+      return LoanAsk{F.at(0).get<std::uint64_t>(),
+                     ResourceId(F.at(1).get<std::string>()),
+                     F.at(2).get<unsigned>()};
+    },
+    [](const json &F) -> PeerMessage {
+      const LoanId Id{DaemonId(F.at(2).get<std::string>()),
+                      F.at(3).get<LoanNumber>()};
+      return LoanReply{F.at(0).get<std::uint64_t>(),
+                       ResourceId(F.at(1).get<std::string>()),
+                       LoanOffer{Id, F.at(4).get<unsigned>(),
+                                 Duration(F.at(5).get<Duration::rep>()),
+                                 F.at(6).get<std::uint64_t>()}};
+    },
+    [](const json &F) -> PeerMessage {
+      return LoanReturn{ResourceId(F.at(0).get<std::string>()),
+                        F.at(1).get<LoanNumber>()};
+    },
+    [](const json &F) -> PeerMessage {
+      return FleetAsk{F.at(0).get<FleetVersion>()};
+    },
+    [](const json &F) -> PeerMessage {
+      return FleetReply{F.at(0).get<FleetVersion>(), F.at(1)};
+    },
+};
+
+} // namespace
+
+DaemonId daemonIdOf(const DaemonName &Name) {
+  return DaemonId(Name.Vm + "#" + std::to_string(Name.Incarnation));
+}
+
+DaemonName daemonNameOf(const DaemonId &Id) {
+  const std::string &Text = Id.str();
+  const std::size_t Mark = Text.rfind('#');
+  if (Mark == std::string::npos)
+    return DaemonName{Text, 0};
+  return DaemonName{Text.substr(0, Mark),
+                    std::strtoull(Text.c_str() + Mark + 1, nullptr, 10)};
+}
+
+std::string PeerCodec::sign(const std::string &Payload) const {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Code{};
+  unsigned Length = 0;
+  HMAC(EVP_sha256(), this->Secret.data(), static_cast<int>(this->Secret.size()),
+       reinterpret_cast<const unsigned char *>(Payload.data()), Payload.size(),
+       Code.data(), &Length);
+  return std::string(Code.begin(), Code.begin() + CodeBytes);
+}
+
+std::string PeerCodec::encode(const PeerEnvelope &Envelope) const {
+  const json Message{Envelope.From.str(), Envelope.Message.index(),
+                     std::visit(EncodeFields{}, Envelope.Message)};
+  std::string Payload;
+  json::to_cbor(Message, Payload);
+  return this->sign(Payload) + Payload;
+}
+
+Result<PeerEnvelope> PeerCodec::decode(const std::string &Frame) const {
+  if (Frame.size() < CodeBytes)
+    return makeError(ErrorKind::BadRequest, "the frame is too short");
+  const std::string Payload = Frame.substr(CodeBytes);
+  const std::string Code = this->sign(Payload);
+  if (CRYPTO_memcmp(Code.data(), Frame.data(), CodeBytes) != 0)
+    return makeError(ErrorKind::NotPermitted, "the frame is not from a peer");
+  try {
+    const json Message = json::from_cbor(Payload);
+    const auto Kind = Message.at(1).get<std::size_t>();
+    if (Kind >= Decoders.size())
+      return makeError(ErrorKind::BadRequest, "the message kind is unknown");
+    return PeerEnvelope{DaemonId(Message.at(0).get<std::string>()),
+                        Decoders.at(Kind)(Message.at(2))};
+  } catch (const json::exception &Fault) {
+    return makeError(ErrorKind::BadRequest, Fault.what());
+  }
+}
+
+} // namespace sardinerill
--- /dev/null
+++ b/packages/membership/tests/membership_test.cpp
@@ -0,0 +1,219 @@
+#include "sardinerill/membership/membership.h"
+#include "sardinerill/membership/peermessages.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace sardinerill;
+
+namespace {
+
+DaemonId daemonAt(int Number, std::uint64_t Incarnation = 1) {
+  return daemonIdOf({"entry-" + std::to_string(Number), Incarnation});
+}
+
+Contact contact(int Number) {
+  return {ZoneId("z" + std::to_string(Number % 3)), "127.0.0.1",
+          static_cast<unsigned short>(1000 + Number)};
+}
+
+/// Daemons whose gossip is delivered by hand.
+struct Cluster {
+  std::vector<Membership> All;
+  Instant Now{seconds(1000)};
+  std::mt19937_64 Random{7};
+  std::set<std::pair<int, int>> Cut;
+
+  explicit Cluster(int Count) {
+    std::map<DaemonId, Contact> Roster;
+    for (int Number = 0; Number < Count; ++Number)
+      Roster[daemonAt(Number)] = contact(Number);
+    for (int Number = 0; Number < Count; ++Number) {
+      this->All.emplace_back(daemonAt(Number), contact(Number),
+                             GossipOptions{});
+      this->All.back().learnRoster(Roster, this->Now);
+    }
+  }
+
+  int numberOf(const DaemonId &Id) const {
+    return std::stoi(Id.str().substr(6));
+  }
+
+  bool isCut(int A, int B) const {
+    return this->Cut.contains({std::min(A, B), std::max(A, B)});
+  }
+
+  /// One second of gossip.
+  void round() {
+    this->Now += seconds(1);
+    for (std::size_t From = 0; From < this->All.size(); ++From) {
+      auto Out = this->All[From].tick(this->Now, this->Random);
+      if (!Out)
+        continue;
+      const int To = this->numberOf(Out->To);
+      if (this->isCut(int(From), To))
+        continue;
+      auto Reply = this->All[std::size_t(To)].answer(this->All[From].self(),
+                                                     Out->Message, this->Now);
+      this->All[From].receive(Reply, this->Now);
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("a version in force is known everywhere within seconds") {
+  Cluster Daemons(48);
+  for (int Round = 0; Round < 30; ++Round)
+    Daemons.round();
+  Daemons.All[0].setVersion(9);
+  int Rounds = 0;
+  auto Behind = [&] {
+    return std::count_if(
+        Daemons.All.begin(), Daemons.All.end(),
+        [](const Membership &M) { return M.newestHeard() < 9; });
+  };
+  while (Behind() > 0 && Rounds < 100) {
+    Daemons.round();
+    ++Rounds;
+  }
+  // 8 s are allowed; gossip alone carries it if the table's poll does not.
+  CHECK(Rounds <= 8);
+}
+
+TEST_CASE("evidence of freshness spreads, and only for the same version") {
+  Cluster Daemons(8);
+  for (Membership &Each : Daemons.All)
+    Each.setVersion(3);
+  Daemons.All[0].setVersion(4);
+  for (int Round = 0; Round < 20; ++Round) {
+    Daemons.All[0].proveNewest(4, Daemons.Now);
+    Daemons.round();
+  }
+  CHECK(Daemons.All[0].freshSince() >= Daemons.Now - seconds(2));
+  CHECK(Daemons.All[1].freshSince() == Instant{});
+  Daemons.All[1].setVersion(4);
+  for (int Round = 0; Round < 20; ++Round) {
+    Daemons.All[0].proveNewest(4, Daemons.Now);
+    Daemons.round();
+  }
+  CHECK(Daemons.All[1].freshSince() >= Daemons.Now - seconds(10));
+}
+
+TEST_CASE("with the platform down for all, hearing everybody is proof") {
+  Cluster Daemons(6);
+  for (Membership &Each : Daemons.All)
+    Each.setVersion(3);
+  for (int Round = 0; Round < 60; ++Round)
+    Daemons.round();
+  for (Membership &Each : Daemons.All)
+    CHECK(Each.freshSince() >= Daemons.Now - seconds(10));
+  // One zone is cut off: it can no longer know what the others do.
+  for (int Other = 1; Other < 6; ++Other)
+    Daemons.Cut.insert({0, Other});
+  for (int Round = 0; Round < 20; ++Round)
+    Daemons.round();
+  CHECK(Daemons.All[0].freshSince() < Daemons.Now - seconds(10));
+}
+
+// Promise: a withdrawn key stops working. Freshness must never be claimed for a
+// moment at which a newer version was in force anywhere that was heard.
+TEST_CASE("no daemon claims freshness later than the newest version's start") {
+  CHECK(rc::check("freshness", [] {
+    Cluster Daemons(5);
+    for (Membership &Each : Daemons.All)
+      Each.setVersion(1);
+    std::optional<Instant> NewAt;
+    const auto Steps =
+        *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 1000));
+    for (int Step : Steps) {
+      const int A = Step % 5;
+      const int B = (Step / 5) % 5;
+      if (Step % 7 == 0 && A != B)
+        Daemons.Cut.insert({std::min(A, B), std::max(A, B)});
+      if (Step % 11 == 0)
+        Daemons.Cut.clear();
+      if (Step % 97 == 0 && !NewAt) {
+        Daemons.All[std::size_t(A)].setVersion(2);
+        NewAt = Daemons.Now;
+      }
+      if (!NewAt && Step % 3 == 0)
+        Daemons.All[std::size_t(B)].proveNewest(1, Daemons.Now);
+      Daemons.round();
+      for (std::size_t Each = 0; NewAt && Each < 5; ++Each)
+        if (Daemons.All[Each].pendingFor(2).front() == Daemons.All[Each].self())
+          RC_ASSERT(Daemons.All[Each].freshSince() <= *NewAt);
+    }
+  }));
+}
+
+TEST_CASE(
+    "a restarted daemon is a new member and old messages change nothing") {
+  Membership View(daemonAt(0), contact(0), {});
+  const Instant Now(seconds(5));
+  auto Say = [&](std::uint64_t Incarnation, std::uint64_t Heartbeat) {
+    GossipEntry Entry{daemonAt(1, Incarnation), Duration(0), {}, contact(1)};
+    Entry.Report.Heartbeat = Heartbeat;
+    View.answer(daemonAt(1, Incarnation), Gossip{1, 0, {Entry}}, Now);
+  };
+  Say(1, 50);
+  Say(2, 1);
+  Say(1, 51);
+  REQUIRE(View.members().size() == 1);
+  CHECK(View.members().begin()->first == daemonAt(1, 2));
+}
+
+TEST_CASE("an acknowledged version does not vouch for an old busy list") {
+  Membership View(daemonAt(0), contact(0), {});
+  View.setVersion(7);
+  View.learnRoster({{daemonAt(1), contact(1)}}, Instant(seconds(1)));
+  View.noteVersion(daemonAt(1), 7);
+  CHECK(View.pendingFor(7).empty());
+  CHECK(View.busyOn(VmId("w1"), 7) == std::vector<DaemonId>{daemonAt(1)});
+}
+
+TEST_CASE("messages come back as they were sent") {
+  const PeerCodec Codec("secret");
+  GossipEntry Entry{daemonAt(3), milliseconds(4), {}, contact(3)};
+  Entry.Report = {
+      9, 8, milliseconds(7), {VmId("w")}, {{PoolId("p"), TeamId("t"), 6}}};
+  const std::vector<PeerMessage> Messages{
+      VersionHint{4},
+      VersionAck{5},
+      LoanAsk{1, ResourceId("team/a"), 2},
+      LoanReply{1,
+                ResourceId("team/a"),
+                {{daemonAt(1), 7}, 2, milliseconds(2000), 5}},
+      LoanReturn{ResourceId("vm/b"), 3},
+      FleetAsk{1},
+      FleetReply{2, nlohmann::json{{"pools", 1}}}};
+  for (const PeerMessage &Message : Messages) {
+    auto Back = Codec.decode(Codec.encode({daemonAt(1), Message}));
+    REQUIRE(Back.has_value());
+    CHECK(*Back == PeerEnvelope{daemonAt(1), Message});
+  }
+  auto Back = Codec.decode(Codec.encode({daemonAt(1), Gossip{2, 0, {Entry}}}));
+  REQUIRE(Back.has_value());
+  const GossipEntry &Got = std::get<Gossip>(Back->Message).Entries.at(0);
+  CHECK(Got.Where == Entry.Where);
+  CHECK(Got.Report.Loads == Entry.Report.Loads);
+  // Ages are only ever rounded up.
+  CHECK(Got.Report.EvidenceAge >= Entry.Report.EvidenceAge);
+}
+
+TEST_CASE("hostile frames give an error and nothing else") {
+  const PeerCodec Codec("secret");
+  CHECK_FALSE(Codec.decode("").has_value());
+  CHECK(PeerCodec("other")
+            .decode(Codec.encode({daemonAt(1), VersionHint{1}}))
+            .error()
+            .Kind == ErrorKind::NotPermitted);
+  CHECK(rc::check("any bytes, sealed by a peer gone wrong", [&] {
+    std::string Frame = Codec.encode(
+        {daemonAt(1),
+         Gossip{1, 0, {{daemonAt(2), Duration(0), {}, contact(2)}}}});
+    const auto Place = *rc::gen::inRange<std::size_t>(0, Frame.size());
+    Frame[Place] = *rc::gen::arbitrary<char>();
+    (void)Codec.decode(Frame);
+  }));
+}
--- /dev/null
+++ b/packages/queueing/src/workqueue.cpp
@@ -0,0 +1,112 @@
+#include "sardinerill/queueing/workqueue.h"
+
+#include <iterator>
+
+namespace sardinerill {
+
+namespace {
+
+/// A team that could start its most urgent work now.
+struct Candidate {
+  const QueuedWork *Work = nullptr;
+  TeamLoad Load;
+  bool BelowShare = false;
+};
+
+/// \returns whether \p A has a lower part of its share in use than \p B.
+bool usesLess(const Candidate &A, const Candidate &B) {
+  return std::uint64_t(A.Load.Running) * B.Load.Share <
+         std::uint64_t(B.Load.Running) * A.Load.Share;
+}
+
+bool goesBefore(const Candidate &A, const Candidate &B) {
+  if (A.BelowShare != B.BelowShare)
+    return A.BelowShare;
+  const bool Urgent = A.Work->LatestStart < B.Work->LatestStart;
+  if (A.BelowShare)
+    return Urgent;
+  if (usesLess(A, B))
+    return true;
+  return !usesLess(B, A) && Urgent;
+}
+
+} // namespace
+
+void WorkQueue::add(const QueuedWork &Work) {
+  if (!this->ById.emplace(Work.Id, Work).second)
+    return;
+  this->ByTeam[Work.Team].insert(Work);
+  this->ByStart.insert(Work);
+}
+
+std::optional<QueuedWork> WorkQueue::pick(const ITeamLoads &Loads,
+                                          unsigned Slots) const {
+  std::vector<Candidate> Candidates;
+  Candidates.reserve(this->ByTeam.size());
+  std::uint64_t Shares = 0;
+  for (const auto &[Team, Waiting] : this->ByTeam) {
+    const TeamLoad Load = Loads.loadOf(Team);
+    Shares += Load.Share;
+    if (!Load.Blocked)
+      Candidates.push_back(Candidate{&*Waiting.begin(), Load, false});
+  }
+  const Candidate *Best = nullptr;
+  for (Candidate &Next : Candidates) {
+    Next.BelowShare = std::uint64_t(Next.Load.Running) * Shares <
+                      std::uint64_t(Slots) * Next.Load.Share;
+    if (Best == nullptr || goesBefore(Next, *Best))
+      Best = &Next;
+  }
+  if (Best == nullptr)
+    return std::nullopt;
+  return *Best->Work;
+}
+
+bool WorkQueue::take(const RequestId &Id) {
+  auto Found = this->ById.find(Id);
+  if (Found == this->ById.end())
+    return false;
+  const QueuedWork Work = Found->second;
+  auto Team = this->ByTeam.find(Work.Team);
+  Team->second.erase(Work);
+  if (Team->second.empty())
+    this->ByTeam.erase(Team);
+  this->ByStart.erase(Work);
+  this->ById.erase(Found);
+  return true;
+}
+
+std::vector<QueuedWork> WorkQueue::shed(Instant Now) {
+  std::vector<QueuedWork> Late;
+  while (!this->ByStart.empty() && this->ByStart.begin()->LatestStart < Now) {
+    Late.push_back(*this->ByStart.begin());
+    this->take(Late.back().Id);
+  }
+  return Late;
+}
+
+std::size_t WorkQueue::ahead(const TeamId &Team, Instant LatestStart) const {
+  auto Found = this->ByTeam.find(Team);
+  if (Found == this->ByTeam.end())
+    return 0;
+  QueuedWork Probe;
+  Probe.LatestStart = LatestStart;
+  Probe.Arrived = Instant::max();
+  return static_cast<std::size_t>(
+      std::distance(Found->second.begin(), Found->second.upper_bound(Probe)));
+}
+
+std::vector<TeamId> WorkQueue::waitingTeams() const {
+  std::vector<TeamId> Teams;
+  for (const auto &[Team, Waiting] : this->ByTeam)
+    Teams.push_back(Team);
+  return Teams;
+}
+
+std::optional<Instant> WorkQueue::nextShed() const {
+  if (this->ByStart.empty())
+    return std::nullopt;
+  return this->ByStart.begin()->LatestStart;
+}
+
+} // namespace sardinerill
