--- a/cmake/SardinerillPackage.cmake
+++ b/cmake/SardinerillPackage.cmake
@@ -13,7 +13,8 @@
   list(FILTER sources EXCLUDE REGEX "src/main\\.cpp$")
   add_library(sardinerill_${NAME} STATIC ${sources})
   target_include_directories(sardinerill_${NAME} PUBLIC include PRIVATE src)
-  target_compile_options(sardinerill_${NAME} PRIVATE -Wall -Wextra)
+  target_compile_options(sardinerill_${NAME} PRIVATE -Wall -Wextra
+                         -Wno-missing-field-initializers)
   list(TRANSFORM ARG_DEPENDS PREPEND sardinerill_)
   target_link_libraries(sardinerill_${NAME} PUBLIC ${ARG_DEPENDS} ${ARG_LINK}
                         nlohmann_json::nlohmann_json Threads::Threads)
@@ -22,7 +23,8 @@
     add_executable(${NAME}_tests ${tests}
                    ${PROJECT_SOURCE_DIR}/cmake/testmain.cpp)
     target_include_directories(${NAME}_tests PRIVATE src tests)
-    target_compile_options(${NAME}_tests PRIVATE -Wall -Wextra)
+    target_compile_options(${NAME}_tests PRIVATE -Wall -Wextra
+                         -Wno-missing-field-initializers)
     target_link_libraries(${NAME}_tests PRIVATE sardinerill_${NAME} rapidcheck)
     add_test(NAME ${NAME} COMMAND ${NAME}_tests)
     # Fixed seed: the same histories on every run.
--- a/packages/control/include/sardinerill/control/maintenanceduty.h
+++ b/packages/control/include/sardinerill/control/maintenanceduty.h
@@ -28,8 +28,11 @@
                   const IMaintenanceView &View, PlatformGate &Gate,
                   const IClock &Clock, Metrics &Figures);
 
-  /// One round: takes or renews the duty, then plans and commits.
+  /// Starts a round where one is due: takes or renews the duty, then plans and
+  /// commits. Called a few times a second.
   void tick();
+  /// Something that a holder waits for may have happened.
+  void kick();
   /// Hands the duty on; \p Done follows, whatever the outcome.
   void release(std::function<void()> Done);
   bool isHeld() const;
@@ -41,6 +44,8 @@
   };
 
   void endRound(Round Read);
+  Duration pause() const;
+  bool hasWork() const;
   void act(const std::vector<VmListEntry> &Vms);
   FleetObservation observe(const Fleet &Current,
                            const std::vector<VmListEntry> &Vms) const;
@@ -57,6 +62,8 @@
   DutyView Seen;
   bool Held = false;
   bool InRound = false;
+  bool KickedInRound = false;
+  Instant NextRound{};
   bool Released = false;
 };
 
--- a/packages/control/src/maintenanceduty.cpp
+++ b/packages/control/src/maintenanceduty.cpp
@@ -2,12 +2,18 @@
 
 #include "sardinerill/base/logging.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace sardinerill {
 
 namespace {
 
 const std::string DutyName = "maintenance";
-constexpr Duration LeaseTime = seconds(10);
+constexpr Duration LeaseTime = seconds(15);
+constexpr Duration WatchPause = seconds(5);
+constexpr Duration IdlePause = seconds(3);
+constexpr Duration WorkPause = milliseconds(150);
 
 } // namespace
 
@@ -25,7 +31,7 @@
 void MaintenanceDuty::tick() {
   const Instant Now = this->Clock.now();
   if (this->InRound || this->Released || !this->Keeper.current() ||
-      !this->Gate.allow(CallPriority::Normal, Now))
+      Now < this->NextRound || !this->Gate.allow(CallPriority::Normal, Now))
     return;
   this->InRound = true;
   runFor<Round>(
@@ -48,6 +54,31 @@
       [this](Round Read) { this->endRound(std::move(Read)); });
 }
 
+bool MaintenanceDuty::hasWork() const {
+  const std::shared_ptr<const Fleet> Current = this->Keeper.current();
+  return std::any_of(
+      Current->Vms.begin(), Current->Vms.end(), [&](const auto &Entry) {
+        const Vm &Each = Entry.second;
+        const Pool &Home = Current->Pools.at(Each.Pool);
+        return Each.State != VmState::Serving || !Each.MoveTo.empty() ||
+               (Each.Generation < Home.Generation && !Home.RolloutPaused);
+      });
+}
+
+Duration MaintenanceDuty::pause() const {
+  if (!this->Held)
+    return WatchPause;
+  return this->hasWork() ? WorkPause : IdlePause;
+}
+
+void MaintenanceDuty::kick() {
+  if (!this->Held)
+    return;
+  this->KickedInRound = this->InRound;
+  this->NextRound = Instant{};
+  this->tick();
+}
+
 void MaintenanceDuty::endRound(Round Read) {
   this->InRound = false;
   const bool WasHeld = this->Held;
@@ -55,6 +86,7 @@
   if (!Read.Duty) {
     const bool Answered = Read.Duty.error().Kind == ErrorKind::VersionConflict;
     this->Gate.record(Answered, this->Clock.now());
+    this->NextRound = this->Clock.now() + WatchPause;
     return;
   }
   this->Gate.record(true, this->Clock.now());
@@ -65,6 +97,8 @@
              {{"duty", DutyName}, {"fence", std::to_string(this->Seen.Fence)}});
   if (this->Held && Read.Vms && !Read.Vms->empty())
     this->act(*Read.Vms);
+  const bool Again = std::exchange(this->KickedInRound, false);
+  this->NextRound = Again ? Instant{} : this->Clock.now() + this->pause();
 }
 
 FleetObservation
--- a/packages/daemon/src/daemonapp.cpp
+++ b/packages/daemon/src/daemonapp.cpp
@@ -26,8 +26,9 @@
 constexpr Duration EscrowTick = milliseconds(100);
 constexpr Duration GossipTick = seconds(1);
 constexpr Duration FleetPoll = seconds(3);
-constexpr Duration RosterPoll = seconds(15);
-constexpr Duration MaintenanceTick = seconds(1);
+constexpr Duration RosterPoll = seconds(30);
+constexpr Duration VmListPoll = seconds(4);
+constexpr Duration MaintenanceTick = milliseconds(50);
 constexpr Duration RecoverTick = seconds(2);
 constexpr Duration StopTick = milliseconds(50);
 constexpr Duration PauseMargin = seconds(5);
@@ -129,6 +130,8 @@
   bool Registered = false;
   bool Recovered = false;
   bool ReadingRoster = false;
+  bool ReadingVmList = false;
+  std::vector<VmId> ReportedBusy;
   bool Stopping = false;
   bool DoorClosed = false;
   bool GivingBack = false;
@@ -155,7 +158,9 @@
   void every(Duration Interval, std::function<void()> Do);
   void adopt(const std::shared_ptr<const Fleet> &Newest);
   void gossip();
-  void readLists();
+  void readRosterRows();
+  void readVmList();
+  void pushDrainReport();
   void takeVmList(const std::vector<VmListEntry> &Vms);
   void reclaim(const DaemonId &Gone);
   void recover();
@@ -216,8 +221,9 @@
   this->Maintenance = std::make_unique<MaintenanceDuty>(
       this->Platform, this->Background, *this->Keeper, *this->Members,
       *this->MaintenanceSight, this->Gate, this->Clock, this->Figures);
-  this->Router = std::make_unique<PeerRouter>(
-      *this->Hub, *this->Members, *this->Keeper, *this->Escrow, this->Clock);
+  this->Router = std::make_unique<PeerRouter>(*this->Hub, *this->Members,
+                                              *this->Keeper, *this->Escrow,
+                                              *this->Maintenance, this->Clock);
   this->Hub->setHandler(
       [this](const DaemonId &From, const PeerMessage &Message) {
         this->Router->route(From, Message);
@@ -271,18 +277,24 @@
 }
 
 void DaemonApp::Parts::startTimers() {
-  this->every(DispatchTick, [this] { this->Work->tick(); });
+  this->every(DispatchTick, [this] {
+    this->Work->tick();
+    if (this->Work->busyDraining() != this->ReportedBusy)
+      this->pushDrainReport();
+  });
   this->every(EscrowTick, [this] { this->Escrow->tick(); });
   this->every(GossipTick, [this] { this->gossip(); });
   this->every(FleetPoll, [this] { this->Keeper->poll(); });
-  this->every(RosterPoll, [this] { this->readLists(); });
+  this->every(RosterPoll, [this] { this->readRosterRows(); });
+  this->every(VmListPoll, [this] { this->readVmList(); });
   this->every(MaintenanceTick, [this] {
     if (!this->Stopping)
       this->Maintenance->tick();
   });
   this->every(RecoverTick, [this] { this->recover(); });
   this->Keeper->poll();
-  this->readLists();
+  this->readRosterRows();
+  this->readVmList();
 }
 
 void DaemonApp::Parts::adopt(const std::shared_ptr<const Fleet> &Newest) {
@@ -292,6 +304,15 @@
   this->Members->setBusyDraining(this->Work->busyDraining());
   if (!this->Recovered)
     this->recover();
+  const bool Drains = std::any_of(
+      Newest->Vms.begin(), Newest->Vms.end(), [](const auto &Entry) {
+        return Entry.second.State == VmState::Draining;
+      });
+  // After the keeper has put the version in force.
+  if (Drains)
+    asio::post(this->Loop, [this] { this->pushDrainReport(); });
+  else
+    asio::post(this->Loop, [this] { this->Maintenance->kick(); });
 }
 
 void DaemonApp::Parts::gossip() {
@@ -305,30 +326,51 @@
     this->Hub->send(Out->To, Out->Message);
 }
 
-void DaemonApp::Parts::readLists() {
-  struct Lists {
-    Result<std::map<DaemonId, Contact>> Roster;
-    Result<std::vector<VmListEntry>> Vms;
-  };
+/// Peers that wait for a drain hear of its end at once, not by gossip.
+void DaemonApp::Parts::pushDrainReport() {
+  this->ReportedBusy = this->Work->busyDraining();
+  this->Members->setBusyDraining(this->ReportedBusy);
+  const ReportPush Report = this->Members->pushReport(this->Clock.now());
+  for (const auto &[Id, Other] : this->Members->members())
+    this->Hub->send(Id, Report);
+  this->Maintenance->kick();
+}
+
+void DaemonApp::Parts::readRosterRows() {
   if (this->ReadingRoster ||
       !this->Gate.allow(CallPriority::Normal, this->Clock.now()))
     return;
   this->ReadingRoster = true;
-  runFor<Lists>(
+  const bool Register = !this->Registered && !this->Stopping;
+  using Roster = Result<std::map<DaemonId, Contact>>;
+  runFor<Roster>(
       this->Background,
-      [this] {
-        if (!this->Registered && !this->Stopping)
+      [this, Register] {
+        if (Register)
           (void)registerDaemon(this->Platform, this->Name, this->Where);
-        return Lists{readRoster(this->Platform), this->Platform.listVms()};
+        return readRoster(this->Platform);
       },
-      [this](Lists Read) {
+      [this](Roster Read) {
         this->ReadingRoster = false;
-        if (Read.Roster) {
-          this->Registered = Read.Roster->contains(this->Members->self());
-          this->Members->learnRoster(*Read.Roster, this->Clock.now());
-        }
-        if (Read.Vms && !Read.Vms->empty())
-          this->takeVmList(*Read.Vms);
+        if (!Read)
+          return;
+        this->Registered = Read->contains(this->Members->self());
+        this->Members->learnRoster(*Read, this->Clock.now());
+      });
+}
+
+void DaemonApp::Parts::readVmList() {
+  if (this->ReadingVmList ||
+      !this->Gate.allow(CallPriority::Normal, this->Clock.now()))
+    return;
+  this->ReadingVmList = true;
+  using List = Result<std::vector<VmListEntry>>;
+  runFor<List>(
+      this->Background, [this] { return this->Platform.listVms(); },
+      [this](List Read) {
+        this->ReadingVmList = false;
+        if (Read && !Read->empty())
+          this->takeVmList(*Read);
       });
 }
 
--- a/packages/daemon/src/peerrouter.h
+++ b/packages/daemon/src/peerrouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sardinerill/control/fleetkeeper.h"
+#include "sardinerill/control/maintenanceduty.h"
 #include "sardinerill/escrow/escrowagent.h"
 #include "sardinerill/membership/peerhub.h"
 
@@ -40,9 +41,10 @@
 class PeerRouter {
 public:
   PeerRouter(IPeers &Peers, Membership &Members, FleetKeeper &Keeper,
-             EscrowAgent &Escrow, const IClock &Clock)
+             EscrowAgent &Escrow, MaintenanceDuty &Maintenance,
+             const IClock &Clock)
       : Peers(Peers), Members(Members), Keeper(Keeper), Escrow(Escrow),
-        Clock(Clock) {}
+        Maintenance(Maintenance), Clock(Clock) {}
 
   void route(const DaemonId &From, const PeerMessage &Message) {
     std::visit([&](const auto &Each) { this->take(From, Each); }, Message);
@@ -75,6 +77,10 @@
   void take(const DaemonId &From, const FleetAsk &M) {
     this->Keeper.onFleetAsk(From, M.Known);
   }
+  void take(const DaemonId &, const ReportPush &M) {
+    this->Members.receive(M, this->Clock.now());
+    this->Maintenance.kick();
+  }
   void take(const DaemonId &, const FleetReply &M) {
     this->Keeper.onFleetReply(M);
   }
@@ -88,6 +94,7 @@
   Membership &Members;
   FleetKeeper &Keeper;
   EscrowAgent &Escrow;
+  MaintenanceDuty &Maintenance;
   const IClock &Clock;
 };
 
--- /dev/null
+++ b/packages/dispatch/tests/httpupstreams_test.cpp
@@ -0,0 +1,195 @@
+#include "sardinerill/dispatch/httpupstreams.h"
+
+#include <boost/asio.hpp>
+#include <doctest/doctest.h>
+#include <optional>
+#include <thread>
+
+using namespace sardinerill;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// A peer that takes requests and answers with given bytes, then closes or not.
+struct ScriptedPeer {
+  asio::io_context Io;
+  tcp::acceptor Acceptor{Io, {asio::ip::make_address("127.0.0.1"), 0}};
+  std::thread Runner;
+  std::vector<std::string> Replies;
+  bool CloseAfter = true;
+  unsigned Deliveries = 0;
+  unsigned Connections = 0;
+
+  VmEndpoint endpoint() const {
+    return {VmId("w"), "127.0.0.1", this->Acceptor.local_endpoint().port()};
+  }
+
+  /// Serves \p Count connections.
+  void serve(unsigned Count) {
+    this->Runner = std::thread([this, Count] {
+      std::size_t Next = 0;
+      for (unsigned Number = 0; Number < Count; ++Number) {
+        tcp::socket Socket = this->Acceptor.accept();
+        ++this->Connections;
+        this->serveOne(Socket, Next);
+      }
+    });
+  }
+
+  void serveOne(tcp::socket &Socket, std::size_t &Next) {
+    std::string Seen;
+    while (Next < this->Replies.size()) {
+      boost::system::error_code Failed;
+      const std::size_t Length = asio::read_until(
+          Socket, asio::dynamic_buffer(Seen), "END", Failed);
+      if (Failed)
+        return;
+      Seen.erase(0, Length);
+      ++this->Deliveries;
+      asio::write(Socket, asio::buffer(this->Replies[Next++]), Failed);
+      if (this->CloseAfter)
+        return;
+    }
+  }
+
+  ~ScriptedPeer() {
+    if (this->Runner.joinable())
+      this->Runner.join();
+  }
+};
+
+std::string reply(const std::string &Id, const std::string &Body,
+                  const std::string &More = "") {
+  return "HTTP/1.1 200 OK\r\nSardinerill-Request-Id: " + Id + "\r\n" + More +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+/// Sends one request and waits for its end.
+UpstreamOutcome exchange(HttpUpstreams &Upstreams, asio::io_context &Io,
+                         const VmEndpoint &Vm, const std::string &Id,
+                         bool Fresh = false) {
+  std::optional<UpstreamOutcome> Outcome;
+  UpstreamRequest Request{.Id = RequestId(Id),
+                          .Vm = Vm,
+                          .Class = ClassId("c"),
+                          .Body = "END",
+                          .RunLimit = milliseconds(300),
+                          .FreshConnection = Fresh};
+  Upstreams.send(std::move(Request),
+                 [&](UpstreamOutcome Got) { Outcome = std::move(Got); });
+  while (!Outcome) {
+    Io.restart();
+    Io.run_one();
+  }
+  return std::move(*Outcome);
+}
+
+/// What one scripted reply to request "a" leads to.
+UpstreamOutcome outcomeOf(const std::string &Bytes, bool CloseAfter = true) {
+  ScriptedPeer Peer;
+  Peer.Replies = {Bytes};
+  Peer.CloseAfter = CloseAfter;
+  Peer.serve(1);
+  asio::io_context Io;
+  HttpUpstreams Upstreams(Io);
+  return exchange(Upstreams, Io, Peer.endpoint(), "a");
+}
+
+} // namespace
+
+TEST_CASE("a whole reply that is our own is the answer") {
+  auto Outcome = outcomeOf(reply("a", "hello"));
+  REQUIRE(Outcome.has_value());
+  CHECK(Outcome->Body == "hello");
+}
+
+TEST_CASE("a reply cut short is never passed on") {
+  auto Outcome = outcomeOf(
+      "HTTP/1.1 200 OK\r\nSardinerill-Request-Id: a\r\nContent-Length: "
+      "10\r\n\r\npart");
+  REQUIRE_FALSE(Outcome.has_value());
+  CHECK(Outcome.error().mayHaveRun());
+  CHECK_FALSE(Outcome.error().HasEnded);
+}
+
+TEST_CASE("a reply to another request is never passed on") {
+  auto Outcome = outcomeOf(reply("b", "not yours"));
+  REQUIRE_FALSE(Outcome.has_value());
+  CHECK(Outcome.error().Kind == ErrorKind::UpstreamBadReply);
+}
+
+TEST_CASE("two replies to one request do not reach the next request") {
+  ScriptedPeer Peer;
+  Peer.Replies = {reply("a", "first") + reply("a", "again"),
+                  reply("b", "second")};
+  Peer.CloseAfter = false;
+  Peer.serve(2);
+  asio::io_context Io;
+  HttpUpstreams Upstreams(Io);
+  CHECK(exchange(Upstreams, Io, Peer.endpoint(), "a")->Body == "first");
+  CHECK(exchange(Upstreams, Io, Peer.endpoint(), "b")->Body == "second");
+  CHECK(Peer.Connections == 2);
+}
+
+TEST_CASE("a connection is used again only after an echoed, clean reply") {
+  ScriptedPeer Peer;
+  Peer.Replies = {reply("a", "1"), reply("b", "2")};
+  Peer.CloseAfter = false;
+  Peer.serve(1);
+  asio::io_context Io;
+  HttpUpstreams Upstreams(Io);
+  CHECK(exchange(Upstreams, Io, Peer.endpoint(), "a").has_value());
+  CHECK(exchange(Upstreams, Io, Peer.endpoint(), "b").has_value());
+  CHECK(Peer.Connections == 1);
+}
+
+// The cxxtools client sends a POST again by itself here.
+TEST_CASE("a peer that reads and hangs up is sent the request once") {
+  ScriptedPeer Peer;
+  Peer.Replies = {""};
+  Peer.serve(1);
+  asio::io_context Io;
+  HttpUpstreams Upstreams(Io);
+  auto Outcome = exchange(Upstreams, Io, Peer.endpoint(), "a", true);
+  REQUIRE_FALSE(Outcome.has_value());
+  CHECK(Outcome.error().mayHaveRun());
+  CHECK(Peer.Deliveries == 1);
+}
+
+TEST_CASE("no answer within the run limit may have run") {
+  ScriptedPeer Peer;
+  Peer.Replies = {"", ""};
+  Peer.CloseAfter = false;
+  Peer.serve(1);
+  asio::io_context Io;
+  HttpUpstreams Upstreams(Io);
+  auto Outcome = exchange(Upstreams, Io, Peer.endpoint(), "a");
+  REQUIRE_FALSE(Outcome.has_value());
+  CHECK(Outcome.error().Kind == ErrorKind::UpstreamTimeout);
+  CHECK_FALSE(Outcome.error().HasEnded);
+}
+
+TEST_CASE("nobody listening means that it did not run") {
+  ScriptedPeer Peer;
+  const VmEndpoint Where = Peer.endpoint();
+  Peer.Acceptor.close();
+  asio::io_context Io;
+  HttpUpstreams Upstreams(Io);
+  auto Outcome = exchange(Upstreams, Io, Where, "a");
+  REQUIRE_FALSE(Outcome.has_value());
+  CHECK_FALSE(Outcome.error().mayHaveRun());
+}
+
+TEST_CASE("a worker's word that it took nothing is believed, an error is not") {
+  auto Busy = outcomeOf(
+      "HTTP/1.1 503 Busy\r\nSardinerill-Request-Id: a\r\nSardinerill-Ran: "
+      "no\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE_FALSE(Busy.has_value());
+  CHECK_FALSE(Busy.error().mayHaveRun());
+  auto Failed = outcomeOf("HTTP/1.1 500 No\r\nSardinerill-Request-Id: "
+                          "a\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE_FALSE(Failed.has_value());
+  CHECK(Failed.error().mayHaveRun());
+  CHECK(Failed.error().HasEnded);
+}
--- a/packages/fleet/include/sardinerill/fleet/availability.h
+++ b/packages/fleet/include/sardinerill/fleet/availability.h
@@ -21,6 +21,9 @@
   /// Counts \p Vm as down from now on.
   void add(const Fleet &Current, const VmId &Vm);
 
+  /// \p Vm gives service again.
+  void remove(const Fleet &Current, const VmId &Vm);
+
   /// \returns BudgetExhausted, naming the budget, if taking \p Vm out of
   /// service would pass one. A VM that is down already is not counted twice.
   Result<void> mayDisrupt(const Fleet &Current, const VmId &Vm) const;
--- a/packages/fleet/src/availability.cpp
+++ b/packages/fleet/src/availability.cpp
@@ -35,6 +35,16 @@
   ++this->Counted.Racks[Vm.Rack];
 }
 
+void DownSet::remove(const Fleet &Current, const VmId &Id) {
+  auto Found = Current.Vms.find(Id);
+  if (Found == Current.Vms.end() || this->Down.erase(Id) == 0)
+    return;
+  const Vm &Vm = Found->second;
+  --this->Counted.Pools[Vm.Pool];
+  --this->Counted.Zones[Vm.Zone];
+  --this->Counted.Racks[Vm.Rack];
+}
+
 Result<void> DownSet::mayDisrupt(const Fleet &Current, const VmId &Id) const {
   auto Found = Current.Vms.find(Id);
   if (Found == Current.Vms.end())
--- a/packages/fleet/src/maintenance.cpp
+++ b/packages/fleet/src/maintenance.cpp
@@ -82,6 +82,10 @@
     Patch["moveTo"] = nullptr;
     Patch["drainVersion"] = nullptr;
     Patch["bootsBefore"] = nullptr;
+    // The same change may take the next VM out: both happen in one version. A
+    // VM that moves makes room in the pool it leaves only with the next.
+    if (Home == Vm.Pool && !this->seen(Vm.Id).Suspected)
+      this->Down.remove(this->Current, Vm.Id);
   }
 
   bool needsWork(const Vm &Vm) const {
--- a/packages/membership/include/sardinerill/membership/membership.h
+++ b/packages/membership/include/sardinerill/membership/membership.h
@@ -44,6 +44,11 @@
   /// Takes the answer to an own round; one that was not asked for is dropped.
   void receive(const GossipReply &Message, Instant Now);
 
+  /// \returns this daemon's report as of now, newer than any sent before.
+  ReportPush pushReport(Instant Now);
+  /// Takes a report that was pushed.
+  void receive(const ReportPush &Message, Instant Now);
+
   /// Takes in the roster of the platform's table.
   void learnRoster(const std::map<DaemonId, Contact> &Roster, Instant Now);
   /// Drops a member for certain: the platform no longer lists its VM, or a
--- a/packages/membership/include/sardinerill/membership/peermessages.h
+++ b/packages/membership/include/sardinerill/membership/peermessages.h
@@ -80,9 +80,15 @@
   friend bool operator==(const FleetReply &, const FleetReply &) = default;
 };
 
+/// A report sent at once, as when a drain has ended; not to be answered.
+struct ReportPush {
+  GossipEntry Entry;
+  friend bool operator==(const ReportPush &, const ReportPush &) = default;
+};
+
 using PeerMessage =
     std::variant<Gossip, GossipReply, VersionHint, VersionAck, LoanAsk,
-                 LoanReply, LoanReturn, FleetAsk, FleetReply>;
+                 LoanReply, LoanReturn, FleetAsk, FleetReply, ReportPush>;
 
 /// A message and who sent it.
 struct PeerEnvelope {
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -106,6 +106,17 @@
   }
 }
 
+ReportPush Membership::pushReport(Instant Now) {
+  ++this->Own.Heartbeat;
+  GossipEntry Entry = this->ownEntry(Now);
+  Entry.Where = this->Where;
+  return ReportPush{std::move(Entry)};
+}
+
+void Membership::receive(const ReportPush &Message, Instant Now) {
+  this->merge(Message.Entry, Instant{}, Now);
+}
+
 bool Membership::isSuperseded(const DaemonId &Id) const {
   return std::any_of(
       this->Others.begin(), this->Others.end(),
--- a/packages/membership/src/peermessages.cpp
+++ b/packages/membership/src/peermessages.cpp
@@ -132,6 +132,9 @@
   json operator()(const FleetReply &M) const {
     return json{M.Version, M.Document};
   }
+  json operator()(const ReportPush &M) const {
+    return json::array({encodeEntry(M.Entry)});
+  }
 };
 
 using DecodeFields = PeerMessage (*)(const json &);
@@ -176,6 +179,9 @@
     [](const json &F) -> PeerMessage {
       return FleetReply{F.at(0).get<FleetVersion>(), F.at(1)};
     },
+    [](const json &F) -> PeerMessage {
+      return ReportPush{decodeEntry(F.at(0))};
+    },
 };
 
 } // namespace
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -163,6 +163,25 @@
   CHECK(View.members().begin()->first == daemonAt(1, 2));
 }
 
+TEST_CASE("a pushed report ends a drain at once") {
+  Membership Holder(daemonAt(0), contact(0), {});
+  Membership Worker(daemonAt(1), contact(1), {});
+  Holder.setVersion(7);
+  Worker.setVersion(7);
+  Holder.learnRoster({{daemonAt(1), contact(1)}}, Instant(seconds(1)));
+  Worker.setBusyDraining({VmId("w1")});
+  const ReportPush Busy = Worker.pushReport(Instant(seconds(1)));
+  Worker.setBusyDraining({});
+  const ReportPush Done = Worker.pushReport(Instant(seconds(2)));
+  Holder.receive(Busy, Instant(seconds(2)));
+  CHECK(Holder.busyOn(VmId("w1"), 7).size() == 1);
+  Holder.receive(Done, Instant(seconds(2)));
+  CHECK(Holder.busyOn(VmId("w1"), 7).empty());
+  // The older report comes late.
+  Holder.receive(Busy, Instant(seconds(3)));
+  CHECK(Holder.busyOn(VmId("w1"), 7).empty());
+}
+
 TEST_CASE("an acknowledged version does not vouch for an old busy list") {
   Membership View(daemonAt(0), contact(0), {});
   View.setVersion(7);
--- a/packages/platform/include/sardinerill/platform/httpplatform.h
+++ b/packages/platform/include/sardinerill/platform/httpplatform.h
@@ -3,6 +3,7 @@
 #include "sardinerill/base/clock.h"
 #include "sardinerill/platform/iplatform.h"
 
+#include <mutex>
 #include <nlohmann/json.hpp>
 
 /// \file
@@ -38,6 +39,10 @@
                               const nlohmann::json &Message);
 
   HttpPlatformOptions Options;
+  /// The last list and its tag: an unchanged one is not sent again.
+  std::mutex ListGuard;
+  std::string ListTag;
+  std::vector<VmListEntry> LastList;
 };
 
 } // namespace sardinerill
--- a/packages/platform/src/httpplatform.cpp
+++ b/packages/platform/src/httpplatform.cpp
@@ -103,12 +103,25 @@
 }
 
 Result<std::vector<VmListEntry>> HttpPlatform::listVms() {
-  Result<json> Answer = this->call("/v1/vms/list", json::object());
+  std::string Tag;
+  {
+    std::scoped_lock Lock(this->ListGuard);
+    Tag = this->ListTag;
+  }
+  Result<json> Answer = this->call("/v1/vms/list", json{{"tag", Tag}});
   if (!Answer)
     return tl::unexpected(Answer.error());
+  std::scoped_lock Lock(this->ListGuard);
+  const json NewTag = Answer->value("tag", json());
+  if (!NewTag.is_string())
+    return malformed("VM list");
+  if (!Answer->contains("vms") && NewTag == Tag && Tag == this->ListTag)
+    return this->LastList;
   Result<std::vector<VmListEntry>> Vms = decodeVms(*Answer);
   if (!Vms)
     return malformed("VM list");
+  this->ListTag = NewTag.get<std::string>();
+  this->LastList = *Vms;
   return Vms;
 }
 
--- a/standins/src/platform_main.cpp
+++ b/standins/src/platform_main.cpp
@@ -96,7 +96,7 @@
     if (Path == "/v1/objects/get")
       return this->answer(this->get(Body));
     if (Path == "/v1/vms/list")
-      return this->answer(this->list());
+      return this->answer(this->list(Body));
     if (Path == "/v1/vms/reboot")
       return this->answer(this->reboot(Body));
     return {404, "text/plain", "no such call"};
@@ -140,7 +140,7 @@
         });
   }
 
-  Result<json> list() {
+  Result<json> list(const json &Body) {
     std::scoped_lock Lock(this->Guard);
     const auto Now = std::chrono::steady_clock::now();
     std::vector<VmListEntry> Entries;
@@ -150,7 +150,13 @@
                          Up ? VmListState::Live : VmListState::Leaving,
                          Vm.Boots});
     }
-    return encodeVms(Entries);
+    json Answer = encodeVms(Entries);
+    const std::string Tag =
+        std::to_string(std::hash<std::string>()(Answer.dump()));
+    if (Body.value("tag", "") == Tag)
+      Answer = json::object();
+    Answer["tag"] = Tag;
+    return Answer;
   }
 
   Result<json> reboot(const json &Body) {
