Jobs with deadlines: kept before they are accepted, followed by id, taken over

Cause: work that may wait (overnight nesting, reconciliation) had no way in but a caller that waits for hours; and a daemon that commits a change refused keys (key_not_fresh, once in a run of `make demo`) until its next poll, since nothing proved the version that it had itself just written.

Change: package `jobs`. A class with deadlineMs is sent to /v1/jobs/: the payload goes to the object store and a row to the table before 202 is answered; the row is moved to running before the first try, so that no two daemons run it; an Idempotency-Key gives the same job at any daemon. A daemon that is certainly gone (its VM has a newer daemon, or is no longer listed) has its jobs taken over: queued ones and idempotent ones run again, others are marked as failed because they may have run. A planned stop leaves waiting jobs to any other daemon. Jobs run through the same queue, with the time left as their target, so that latency classes that must start sooner go first.

A commit now proves its version as of when it was begun.

Conclusion: checkpoint, throttle and stop of jobs for latency classes are still to come; docs/PROMISES.md lists them.

--- a/bench/queuemodel.cpp
+++ b/bench/queuemodel.cpp
@@ -30,7 +30,7 @@
 /// Two large teams and four small ones; the second large one asks for far more
 /// than its share.
 const std::vector<ModelTeam> Teams{
-    {"large", 40, 0.25, 800},  {"greedy", 30, 0.50, 1300},
+    {"large", 40, 0.25, 800},   {"greedy", 30, 0.50, 1300},
     {"small-a", 10, 0.07, 800}, {"small-b", 10, 0.07, 1300},
     {"small-c", 5, 0.06, 800},  {"small-d", 5, 0.05, 1300}};
 
--- a/packages/admission/include/sardinerill/admission/admission.h
+++ b/packages/admission/include/sardinerill/admission/admission.h
@@ -48,14 +48,15 @@
   /// \returns whether \p Key is a valid operator's key.
   Result<KeyId> admitOperator(const std::string &Key) const;
 
+  /// \returns the team whose valid key \p Key is.
+  Result<TeamId> teamOf(const std::string &Key) const;
+
 private:
   struct TeamKey {
     TeamId Team;
     KeyRecord Record;
   };
 
-  Result<TeamId> teamOf(const std::string &Key) const;
-
   std::shared_ptr<const Fleet> Current;
   std::unordered_map<KeyId, TeamKey> ByKey;
 };
--- a/packages/admission/src/keys.cpp
+++ b/packages/admission/src/keys.cpp
@@ -1,9 +1,10 @@
 #include "sardinerill/admission/keys.h"
 
+#include "sardinerill/base/text.h"
+
 #include <array>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/rand.h>
 
 namespace sardinerill {
 
@@ -14,23 +15,6 @@
 constexpr std::size_t SaltBytes = 16;
 constexpr std::size_t MaxKeyBytes = 256;
 
-template <typename Bytes> std::string toHex(const Bytes &Source) {
-  constexpr std::string_view Digits = "0123456789abcdef";
-  std::string Text;
-  for (unsigned char Byte : Source) {
-    Text += Digits[Byte >> 4U];
-    Text += Digits[Byte & 0xfU];
-  }
-  return Text;
-}
-
-template <std::size_t Size> std::string randomHex() {
-  std::array<unsigned char, Size> Bytes{};
-  if (RAND_bytes(Bytes.data(), static_cast<int>(Size)) != 1)
-    std::abort(); // A guessable key is worse than no daemon.
-  return toHex(Bytes);
-}
-
 std::string hashOf(const std::string &Salt, const std::string &Text) {
   std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
   unsigned Length = 0;
@@ -44,9 +28,9 @@
 
 NewKey makeKey(const KeyId &Id) {
   NewKey Made;
-  Made.Text = std::string(Prefix) + Id.str() + "." + randomHex<SecretBytes>();
+  Made.Text = std::string(Prefix) + Id.str() + "." + randomHex(SecretBytes);
   Made.Record.Id = Id;
-  Made.Record.Salt = randomHex<SaltBytes>();
+  Made.Record.Salt = randomHex(SaltBytes);
   Made.Record.Hash = hashOf(Made.Record.Salt, Made.Text);
   return Made;
 }
--- /dev/null
+++ b/packages/base/tests/base_test.cpp
@@ -0,0 +1,46 @@
+#include "sardinerill/base/errors.h"
+#include "sardinerill/base/metrics.h"
+#include "sardinerill/base/text.h"
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace sardinerill;
+
+TEST_CASE("every kind has its own name, and only refusals say 'did not run'") {
+  std::set<std::string_view> Names;
+  for (std::size_t Index = 0; Index < std::size_t(ErrorKind::Count); ++Index) {
+    const ErrorAnswer &Answer = answerFor(static_cast<ErrorKind>(Index));
+    CHECK(Names.insert(Answer.Name).second);
+    CHECK(Answer.HttpStatus >= 400);
+  }
+  for (ErrorKind Kind :
+       {ErrorKind::UpstreamFailed, ErrorKind::UpstreamTimeout,
+        ErrorKind::UpstreamBadReply, ErrorKind::Internal})
+    CHECK((answerFor(Kind).Ran == RanState::MayHaveRun));
+}
+
+TEST_CASE("each refusal and each retry reason has a counter") {
+  Metrics Figures;
+  Figures.countRefusal(ErrorKind::QueueFull);
+  Figures.countRetry(RetryReason::UpstreamBusy);
+  Figures.observe("answer_ms", "pattern", milliseconds(3));
+  const std::string Text = Figures.renderPrometheus();
+  for (const char *Line :
+       {"sardinerill_refusals_total{reason=\"queue_full\"} 1",
+        "sardinerill_refusals_total{reason=\"ceiling_reached\"} 0",
+        "sardinerill_retries_total{reason=\"upstream_busy\"} 1",
+        "sardinerill_answer_ms_count{class=\"pattern\"} 1",
+        "le=\"+Inf\"} 1"})
+    CHECK(Text.find(Line) != std::string::npos);
+}
+
+TEST_CASE("plain names and random texts") {
+  CHECK(isPlainName("a-b_c.9"));
+  CHECK_FALSE(isPlainName(""));
+  CHECK_FALSE(isPlainName("a b"));
+  CHECK_FALSE(isPlainName(std::string(101, 'a')));
+  CHECK(toHex(std::string("\x0f\xa0", 2)) == "0fa0");
+  CHECK(randomHex(16).size() == 32);
+  CHECK(randomHex(16) != randomHex(16));
+}
--- a/packages/control/src/fleetkeeper.cpp
+++ b/packages/control/src/fleetkeeper.cpp
@@ -91,6 +91,7 @@
                        "the platform can't be asked now"));
     return;
   }
+  const Instant AskedAt = this->Clock.now();
   using Outcome = Result<FleetSnapshot>;
   runFor<Outcome>(
       this->Background,
@@ -101,12 +102,14 @@
           return Read;
         return Log.append(*Read, Change);
       },
-      [this, Finished = std::move(Finished)](Outcome Written) {
+      [this, AskedAt, Finished = std::move(Finished)](Outcome Written) {
         if (!Written) {
           Finished(tl::unexpected(Written.error()));
           return;
         }
         this->adopt(*Written);
+        // It was the newest when it was committed, which came after the asking.
+        this->Members.proveNewest(Written->Version, AskedAt);
         for (const auto &[Id, Other] : this->Members.members())
           this->Peers.send(Id, VersionHint{Written->Version});
         Finished(Written->Version);
--- a/packages/daemon/src/gonevms.cpp
+++ b/packages/daemon/src/gonevms.cpp
@@ -17,6 +17,7 @@
     if (Count < ListsToBeGone || this->GoneSince.contains(Id))
       continue;
     this->GoneSince[Id] = Now;
+    this->Ever.insert(Id);
     Found.push_back(Id);
   }
   this->Listed.merge(Present);
--- a/packages/daemon/src/gonevms.h
+++ b/packages/daemon/src/gonevms.h
@@ -24,6 +24,8 @@
 
   /// \returns daemons that have been gone for \p Settle, each once.
   std::vector<DaemonId> takeSettled(Instant Now, Duration Settle);
+  /// \returns whether \p Id was found gone at any time.
+  bool isGone(const DaemonId &Id) const { return this->Ever.contains(Id); }
   /// What was returned could not be dealt with; it is returned again.
   void retry(const DaemonId &Id, Instant Now);
 
@@ -34,6 +36,7 @@
   std::map<DaemonId, unsigned> Missing;
   std::map<DaemonId, Instant> GoneSince;
   std::map<DaemonId, Instant> Again;
+  std::set<DaemonId> Ever;
 };
 
 } // namespace sardinerill
--- a/packages/daemon/tests/gonevms_test.cpp
+++ b/packages/daemon/tests/gonevms_test.cpp
@@ -19,6 +19,8 @@
   CHECK(Gone.takeSettled(Now + seconds(4), seconds(5)).empty());
   CHECK(Gone.takeSettled(Now + seconds(5), seconds(5)).size() == 1);
   CHECK(Gone.takeSettled(Now + seconds(9), seconds(5)).empty());
+  CHECK(Gone.isGone(DaemonId("a#1")));
+  CHECK_FALSE(Gone.isGone(DaemonId("new#1")));
   Gone.retry(DaemonId("a#1"), Now);
   CHECK(Gone.takeSettled(Now, seconds(5)).size() == 1);
 }
--- a/packages/dispatch/include/sardinerill/dispatch/dispatcher.h
+++ b/packages/dispatch/include/sardinerill/dispatch/dispatcher.h
@@ -89,8 +89,12 @@
   /// \returns whether the VM was failing when it was last tried.
   bool isEjected(const VmId &Vm) const;
   unsigned runningOn(const VmId &Vm) const;
+  /// \returns whether work of \p Class may run twice; nothing if it is gone.
+  std::optional<bool> isIdempotent(const ClassId &Class) const;
   std::vector<PoolStatus> poolStatus() const;
   const Admission *admission() const { return this->Door.get(); }
+  /// Admits a request by its key, as submit() does.
+  Result<Admitted> admitByKey(const AdmissionRequest &Request) const;
 
 private:
   struct Job;
@@ -98,6 +102,7 @@
   struct VmRecord;
   class Loads;
 
+  Result<Admitted> admit(const WorkRequest &Request) const;
   void refuse(const Done &Finished, const Error &Why);
   Result<void> checkRoom(const WorkRequest &Request,
                          const Admitted &Taken) const;
--- a/packages/dispatch/include/sardinerill/dispatch/dispatchtypes.h
+++ b/packages/dispatch/include/sardinerill/dispatch/dispatchtypes.h
@@ -21,6 +21,11 @@
   std::string ContentType;
   std::string TraceParent;
   std::string Body;
+  /// Set for work that was admitted before, as a job: no key is asked for and
+  /// no claim made.
+  std::optional<TeamId> AdmittedFor;
+  /// Time left to finish, in place of the class's target.
+  std::optional<milliseconds> FinishWithin;
 };
 
 /// The upstream's whole answer.
--- a/packages/fleet/include/sardinerill/fleet/fleettypes.h
+++ b/packages/fleet/include/sardinerill/fleet/fleettypes.h
@@ -40,6 +40,9 @@
   PoolId Pool;
   milliseconds Target{1000}; ///< From arrival to answer.
   milliseconds MaxRun{5000}; ///< A worker stops the task after this long.
+  /// Time in which a job must finish; 0 for classes answered while the caller
+  /// waits.
+  milliseconds Deadline{0};
   bool Idempotent = true;
   bool Open = false; ///< Needs no key.
   friend bool operator==(const WorkClass &, const WorkClass &) = default;
--- a/packages/fleet/src/fieldreader.cpp
+++ b/packages/fleet/src/fieldreader.cpp
@@ -1,24 +1,11 @@
 #include "fieldreader.h"
 
+#include "sardinerill/base/text.h"
+
 namespace sardinerill {
 
 using nlohmann::json;
 
-namespace {
-
-constexpr std::size_t MaxNameBytes = 100;
-
-bool isPlainName(const std::string &Name) {
-  if (Name.empty() || Name.size() > MaxNameBytes)
-    return false;
-  for (unsigned char Byte : Name)
-    if (std::isalnum(Byte) == 0 && Byte != '-' && Byte != '_' && Byte != '.')
-      return false;
-  return true;
-}
-
-} // namespace
-
 FieldReader::FieldReader(const json &Object, std::string Path,
                          FaultList &Faults)
     : Object(Object), Path(std::move(Path)), Faults(Faults) {
--- a/packages/fleet/src/fleetdocument.cpp
+++ b/packages/fleet/src/fleetdocument.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::uint64_t MaxUnits = 100000;
 constexpr std::uint64_t MaxRunLimitMs = 24ULL * 3600 * 1000;
+constexpr std::uint64_t MaxDeadlineMs = 30ULL * 24 * 3600 * 1000;
 constexpr std::uint64_t MaxPort = 65535;
 constexpr std::array<std::string_view, 3> VmStateNames{"serving", "draining",
                                                        "rebooting"};
@@ -53,6 +54,8 @@
       milliseconds(Reader.number("targetMs", 1, MaxRunLimitMs, std::nullopt));
   Read.MaxRun =
       milliseconds(Reader.number("maxRunMs", 1, MaxRunLimitMs, std::nullopt));
+  Read.Deadline =
+      milliseconds(Reader.number("deadlineMs", 0, MaxDeadlineMs, 0));
   Read.Idempotent = Reader.flag("idempotent", true);
   Read.Open = Reader.flag("open", false);
   return Read;
--- a/packages/gateway/include/sardinerill/gateway/callerdoor.h
+++ b/packages/gateway/include/sardinerill/gateway/callerdoor.h
@@ -2,6 +2,7 @@
 
 #include "sardinerill/base/metrics.h"
 #include "sardinerill/dispatch/iworkservice.h"
+#include "sardinerill/jobs/ijobservice.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -33,7 +34,8 @@
   using Ready = std::function<bool()>;
 
   CallerDoor(boost::asio::io_context &Io, CallerDoorOptions Options,
-             IWorkService &Work, Ready IsReady, Metrics &Figures);
+             IWorkService &Work, IJobService &Jobs, Ready IsReady,
+             Metrics &Figures);
   ~CallerDoor();
 
   /// \returns an empty text, or why the door can't be opened.
--- a/packages/gateway/src/callerdoor.cpp
+++ b/packages/gateway/src/callerdoor.cpp
@@ -1,6 +1,7 @@
 #include "sardinerill/gateway/callerdoor.h"
 
 #include "sardinerill/base/logging.h"
+#include "sardinerill/base/text.h"
 #include "sardinerill/gateway/problem.h"
 #include "sardinerill/platform/iplatform.h"
 
@@ -20,8 +21,9 @@
 namespace {
 
 constexpr std::string_view WorkPrefix = "/v1/work/";
+constexpr std::string_view JobsPrefix = "/v1/jobs/";
+constexpr std::string_view ResultSuffix = "/result";
 constexpr std::string_view BearerPrefix = "Bearer ";
-constexpr std::size_t MaxNameBytes = 100;
 constexpr std::size_t MaxIdempotencyKeyBytes = 200;
 constexpr std::size_t FirstReadBytes = 2048;
 constexpr milliseconds AnswerTimeout{30000};
@@ -30,15 +32,6 @@
 
 using Response = http::response<http::string_body>;
 
-bool isPlainName(std::string_view Name) {
-  if (Name.empty() || Name.size() > MaxNameBytes)
-    return false;
-  for (unsigned char Byte : Name)
-    if (std::isalnum(Byte) == 0 && Byte != '-' && Byte != '_' && Byte != '.')
-      return false;
-  return true;
-}
-
 bool isPrintable(std::string_view Text) {
   for (unsigned char Byte : Text)
     if (Byte < 0x21 || Byte > 0x7e)
@@ -57,6 +50,7 @@
   asio::io_context &Io;
   CallerDoorOptions Options;
   IWorkService &Work;
+  IJobService &Jobs;
   Ready IsReady;
   Metrics &Figures;
   tcp::acceptor Acceptor;
@@ -65,8 +59,8 @@
   bool Open = true;
 
   Shared(asio::io_context &Io, CallerDoorOptions Options, IWorkService &Work,
-         Ready IsReady, Metrics &Figures)
-      : Io(Io), Options(std::move(Options)), Work(Work),
+         IJobService &Jobs, Ready IsReady, Metrics &Figures)
+      : Io(Io), Options(std::move(Options)), Work(Work), Jobs(Jobs),
         IsReady(std::move(IsReady)), Figures(Figures), Acceptor(Io) {}
 };
 
@@ -204,6 +198,10 @@
                         Ready ? "ready\n" : "not ready\n");
       return;
     }
+    if (Target.starts_with(JobsPrefix)) {
+      this->callJobs(Target.substr(JobsPrefix.size()));
+      return;
+    }
     if (!Target.starts_with(WorkPrefix)) {
       this->refuse(Error{ErrorKind::NotFound, "no such path"});
       return;
@@ -215,30 +213,46 @@
     this->submit(Target.substr(WorkPrefix.size()));
   }
 
+  /// \returns the key in Authorization; an empty one if it is no bearer's.
+  std::optional<std::string> keyOf() {
+    const std::string_view Credentials =
+        toView(this->Parser->get()[http::field::authorization]);
+    if (Credentials.empty())
+      return std::nullopt;
+    if (!Credentials.starts_with(BearerPrefix))
+      return std::string();
+    return std::string(Credentials.substr(BearerPrefix.size()));
+  }
+
+  /// \returns the idempotency key, or BadRequest.
+  Result<std::optional<std::string>> idempotencyKeyOf() {
+    const std::string_view Given =
+        toView(this->Parser->get()["Idempotency-Key"]);
+    if (Given.size() > MaxIdempotencyKeyBytes || !isPrintable(Given))
+      return makeError(ErrorKind::BadRequest,
+                       "an Idempotency-Key has up to 200 printable letters");
+    if (Given.empty())
+      return std::optional<std::string>();
+    return std::optional<std::string>(std::string(Given));
+  }
+
   void submit(std::string_view Class) {
     auto &Request = this->Parser->get();
-    const std::string_view IdempotencyKey = toView(Request["Idempotency-Key"]);
+    Result<std::optional<std::string>> IdempotencyKey =
+        this->idempotencyKeyOf();
     if (!isPlainName(Class)) {
       this->refuse(Error{ErrorKind::BadRequest, "not a name of a class"});
       return;
     }
-    if (IdempotencyKey.size() > MaxIdempotencyKeyBytes ||
-        !isPrintable(IdempotencyKey)) {
-      this->refuse(Error{ErrorKind::BadRequest,
-                         "an Idempotency-Key has up to 200 printable letters"});
+    if (!IdempotencyKey) {
+      this->refuse(IdempotencyKey.error());
       return;
     }
     WorkRequest Work;
     Work.Id = RequestId(makeWriteId());
     Work.Class = ClassId(std::string(Class));
-    const std::string_view Credentials =
-        toView(Request[http::field::authorization]);
-    if (Credentials.starts_with(BearerPrefix))
-      Work.Key = std::string(Credentials.substr(BearerPrefix.size()));
-    else if (!Credentials.empty())
-      Work.Key = std::string();
-    if (!IdempotencyKey.empty())
-      Work.IdempotencyKey = std::string(IdempotencyKey);
+    Work.Key = this->keyOf();
+    Work.IdempotencyKey = *IdempotencyKey;
     Work.ContentType = std::string(Request[http::field::content_type]);
     Work.TraceParent = std::string(Request["traceparent"]);
     Work.Body = std::move(Request.body());
@@ -252,6 +266,61 @@
     });
   }
 
+  /// \returns what is wanted of which job, by method and path.
+  Result<JobCall> jobCallOf(std::string_view Rest) {
+    auto &Request = this->Parser->get();
+    JobCall Call;
+    const bool IsFetch = Rest.ends_with(ResultSuffix);
+    if (IsFetch)
+      Rest.remove_suffix(ResultSuffix.size());
+    if (!isPlainName(Rest))
+      return makeError(ErrorKind::BadRequest, "not a name of a class or job");
+    Result<std::optional<std::string>> IdempotencyKey =
+        this->idempotencyKeyOf();
+    if (!IdempotencyKey)
+      return tl::unexpected(IdempotencyKey.error());
+    Call.Key = this->keyOf();
+    Call.IdempotencyKey = *IdempotencyKey;
+    Call.Id = JobId(std::string(Rest));
+    using Verb = JobCall::Verb;
+    if (Request.method() == http::verb::get) {
+      Call.Wanted = IsFetch ? Verb::Fetch : Verb::Status;
+      return Call;
+    }
+    if (Request.method() == http::verb::delete_ && !IsFetch) {
+      Call.Wanted = Verb::Cancel;
+      return Call;
+    }
+    if (Request.method() != http::verb::post || IsFetch)
+      return makeError(ErrorKind::BadRequest, "jobs take POST, GET and DELETE");
+    Call.Wanted = Verb::Submit;
+    Call.Class = ClassId(std::string(Rest));
+    Call.ContentType = std::string(Request[http::field::content_type]);
+    Call.Body = std::move(Request.body());
+    return Call;
+  }
+
+  void callJobs(std::string_view Rest) {
+    Result<JobCall> Call = this->jobCallOf(Rest);
+    if (!Call) {
+      this->refuse(Call.error());
+      return;
+    }
+    this->Phase = Phase::Waiting;
+    this->Stream.expires_never();
+    this->Door->Jobs.call(std::move(*Call), [Self = this->shared_from_this()](
+                                                Result<JobAnswer> Outcome) {
+      if (!Outcome) {
+        Self->refuse(Outcome.error());
+        return;
+      }
+      Response Reply(static_cast<http::status>(Outcome->Status), 11);
+      Reply.set(http::field::content_type, Outcome->ContentType);
+      Reply.body() = std::move(Outcome->Body);
+      Self->respond(std::move(Reply));
+    });
+  }
+
   /// Sees a caller that closes while it waits; bytes of a next request are left
   /// in the socket.
   void watchForHangUp() {
@@ -384,8 +453,9 @@
 };
 
 CallerDoor::CallerDoor(asio::io_context &Io, CallerDoorOptions Options,
-                       IWorkService &Work, Ready IsReady, Metrics &Figures)
-    : Inner(std::make_shared<Shared>(Io, std::move(Options), Work,
+                       IWorkService &Work, IJobService &Jobs, Ready IsReady,
+                       Metrics &Figures)
+    : Inner(std::make_shared<Shared>(Io, std::move(Options), Work, Jobs,
                                      std::move(IsReady), Figures)) {}
 
 CallerDoor::~CallerDoor() { this->Inner->Open = false; }
--- a/packages/platform/src/settle.cpp
+++ b/packages/platform/src/settle.cpp
@@ -1,8 +1,6 @@
 #include "sardinerill/platform/iplatform.h"
 
-#include <openssl/rand.h>
-
-#include <array>
+#include "sardinerill/base/text.h"
 
 namespace sardinerill {
 
@@ -48,16 +46,6 @@
                    "the outcome of a write could not be read back");
 }
 
-std::string makeWriteId() {
-  std::array<unsigned char, WriteIdBytes> Bytes{};
-  RAND_bytes(Bytes.data(), static_cast<int>(Bytes.size()));
-  constexpr std::string_view Digits = "0123456789abcdef";
-  std::string Text;
-  for (unsigned char Byte : Bytes) {
-    Text += Digits[Byte >> 4U];
-    Text += Digits[Byte & 0xfU];
-  }
-  return Text;
-}
+std::string makeWriteId() { return randomHex(WriteIdBytes); }
 
 } // namespace sardinerill
