--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
   libcxxtools-dev libwebsocketpp-dev libboost-dev libboost-system-dev \
   libexpected-dev libtclap-dev libeasyloggingpp-dev doctest-dev \
   libyaml-cpp-dev librapidcheck-dev nlohmann-json3-dev libbenchmark-dev \
-  libssl-dev
+  libssl-dev curl python3
 
 SUDO := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 SOURCES := $(shell git ls-files '*.h' '*.cpp')
--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -148,7 +148,9 @@
   for (auto _ : State) {
     Now += seconds(1);
     for (Membership &Each : All) {
-      auto Out = Each.tick(Now, Random);
+      Each.proveNewest(0, Now);
+      const auto Round = Each.tick(Now, Random);
+      const OutgoingGossip *Out = &Round.front();
       const std::string Sent = Codec.encode({Each.self(), Out->Message});
       for (Membership &Peer : All) {
         if (Peer.self() != Out->To)
--- a/packages/base/tests/base_test.cpp
+++ b/packages/base/tests/base_test.cpp
@@ -14,9 +14,8 @@
     CHECK(Names.insert(Answer.Name).second);
     CHECK(Answer.HttpStatus >= 400);
   }
-  for (ErrorKind Kind :
-       {ErrorKind::UpstreamFailed, ErrorKind::UpstreamTimeout,
-        ErrorKind::UpstreamBadReply, ErrorKind::Internal})
+  for (ErrorKind Kind : {ErrorKind::UpstreamFailed, ErrorKind::UpstreamTimeout,
+                         ErrorKind::UpstreamBadReply, ErrorKind::Internal})
     CHECK((answerFor(Kind).Ran == RanState::MayHaveRun));
 }
 
@@ -30,8 +29,7 @@
        {"sardinerill_refusals_total{reason=\"queue_full\"} 1",
         "sardinerill_refusals_total{reason=\"ceiling_reached\"} 0",
         "sardinerill_retries_total{reason=\"upstream_busy\"} 1",
-        "sardinerill_answer_ms_count{class=\"pattern\"} 1",
-        "le=\"+Inf\"} 1"})
+        "sardinerill_answer_ms_count{class=\"pattern\"} 1", "le=\"+Inf\"} 1"})
     CHECK(Text.find(Line) != std::string::npos);
 }
 
--- a/packages/control/tests/control_test.cpp
+++ b/packages/control/tests/control_test.cpp
@@ -121,10 +121,10 @@
   Keeping New(Platform, "new");
   New.Members.learnRoster({{Old.Members.self(), Contact{ZoneId("z"), "x", 1}}},
                           New.Clock.now());
-  GossipEntry Entry{Old.Members.self(), Duration(0), {}, {}};
+  GossipEntry Entry{Old.Members.self(), Duration(0), {}, true, {}};
   Entry.Report.Heartbeat = 1;
   Entry.Report.Version = 1;
-  (void)New.Members.answer(Old.Members.self(), Gossip{1, 1, {Entry}},
+  (void)New.Members.answer(Old.Members.self(), Gossip{1, 1, {Entry}, {}},
                            New.Clock.now());
   New.Keeper.poll();
   REQUIRE(New.Peers.Sent.size() == 1);
--- a/packages/daemon/src/daemonapp.cpp
+++ b/packages/daemon/src/daemonapp.cpp
@@ -12,8 +12,8 @@
 constexpr Duration DispatchTick = milliseconds(25);
 constexpr Duration EscrowTick = milliseconds(100);
 constexpr Duration GossipTick = seconds(1);
-constexpr Duration FleetPoll = seconds(3);
-constexpr Duration RosterPoll = seconds(30);
+constexpr Duration FleetPoll = seconds(5);
+constexpr Duration RosterPoll = seconds(60);
 constexpr Duration VmListPoll = seconds(4);
 constexpr Duration MaintenanceTick = milliseconds(50);
 constexpr Duration RecoverTick = seconds(2);
--- a/packages/daemon/src/daemonlists.cpp
+++ b/packages/daemon/src/daemonlists.cpp
@@ -48,9 +48,8 @@
   const auto &Members = this->Members.members();
   return Owner.empty() || Succeeds(this->Members.self()) ||
          this->Gone.isGone(Owner) ||
-         std::any_of(Members.begin(), Members.end(), [&](const auto &Entry) {
-           return Succeeds(Entry.first);
-         });
+         std::any_of(Members.begin(), Members.end(),
+                     [&](const auto &Entry) { return Succeeds(Entry.first); });
 }
 
 void DaemonApp::Parts::gossip() {
@@ -60,8 +59,9 @@
   this->Members->setLoads(std::move(Loads));
   this->Members->setBusyDraining(this->Work->busyDraining());
   static thread_local std::mt19937_64 Random(wallClockMs());
-  if (auto Out = this->Members->tick(this->Clock.now(), Random))
-    this->Hub->send(Out->To, Out->Message);
+  for (const OutgoingGossip &Out :
+       this->Members->tick(this->Clock.now(), Random))
+    this->Hub->send(Out.To, Out.Message);
 }
 
 /// Peers that wait for a drain hear of its end at once, not by gossip.
--- a/packages/escrow/src/escrowagent.cpp
+++ b/packages/escrow/src/escrowagent.cpp
@@ -205,7 +205,7 @@
 }
 
 std::vector<DaemonId> EscrowAgent::lendersOf(const State &Current) const {
-  const std::vector<DaemonId> Reachable = this->Peers.reachable();
+  std::vector<DaemonId> Reachable = this->Peers.reachable();
   if (!Current.RowKnown)
     return Reachable;
   std::vector<DaemonId> Lenders;
--- a/packages/jobs/src/jobservice.cpp
+++ b/packages/jobs/src/jobservice.cpp
@@ -27,8 +27,7 @@
   std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
   EVP_Digest(Name.data(), Name.size(), Digest.data(), nullptr, EVP_sha256(),
              nullptr);
-  return JobId(
-      toHex(std::string(Digest.begin(), Digest.begin() + JobIdBytes)));
+  return JobId(toHex(std::string(Digest.begin(), Digest.begin() + JobIdBytes)));
 }
 
 JobAnswer describe(unsigned Status, const JobRecord &Job) {
@@ -64,8 +63,8 @@
 
 void JobService::submit(const JobCall &Call, Done Finished) {
   // The job's row makes it run at most once; no further key is needed.
-  Result<Admitted> Taken = this->Parts.Around.admit(
-      AdmissionRequest{Call.Class, Call.Key, true});
+  Result<Admitted> Taken =
+      this->Parts.Around.admit(AdmissionRequest{Call.Class, Call.Key, true});
   if (!Taken) {
     Finished(tl::unexpected(Taken.error()));
     return;
@@ -146,9 +145,9 @@
 void JobService::fetch(const JobCall &Call, Done Finished) {
   this->withOwnJob(Call, Finished, [this, Finished](const StoredJob &Job) {
     if (Job.Record.State != JobState::Done) {
-      Finished(makeError(ErrorKind::NotFound,
-                         "the job is " +
-                             std::string(toString(Job.Record.State))));
+      Finished(
+          makeError(ErrorKind::NotFound,
+                    "the job is " + std::string(toString(Job.Record.State))));
       return;
     }
     runFor<Result<std::string>>(
@@ -238,8 +237,7 @@
   runFor<Started>(
       this->Parts.Background,
       [Store = JobStore(this->Parts.Platform), Id, Self = this->Parts.Self,
-       MayBeStarted =
-           this->MayBeStarted.contains(Id)]() mutable -> Started {
+       MayBeStarted = this->MayBeStarted.contains(Id)]() mutable -> Started {
         StoredOutcome Read = Store.read(Id);
         if (!Read)
           return {Read, "", Read.error().Kind != ErrorKind::NotFound};
@@ -286,8 +284,8 @@
   Request.ContentType = Job.Record.PayloadType;
   Request.Body = std::move(Payload);
   this->Parts.Work.submit(
-      std::move(Request), [this, Job = std::move(Job)](
-                              Result<WorkAnswer> Outcome) mutable {
+      std::move(Request),
+      [this, Job = std::move(Job)](Result<WorkAnswer> Outcome) mutable {
         this->finish(std::move(Job), std::move(Outcome));
       });
 }
@@ -303,11 +301,10 @@
   }
   const Error &Why = Outcome.error();
   const bool DidNotRun = answerFor(Why.Kind).Ran == RanState::DidNotRun;
-  const bool InTime =
-      this->Parts.Around.wallClockMs() < Job.Record.DeadlineMs;
-  const bool MayRepeat = DidNotRun || this->Parts.Around
-                                          .isIdempotent(Job.Record.Class)
-                                          .value_or(false);
+  const bool InTime = this->Parts.Around.wallClockMs() < Job.Record.DeadlineMs;
+  const bool MayRepeat =
+      DidNotRun ||
+      this->Parts.Around.isIdempotent(Job.Record.Class).value_or(false);
   Changed.State = MayRepeat && InTime ? JobState::Queued : JobState::Failed;
   Changed.Detail = std::string(answerFor(Why.Kind).Name) + ": " + Why.Detail;
   this->store(std::move(Job), std::move(Changed), "");
@@ -336,9 +333,8 @@
           return;
         }
         this->InHand.erase(Changed.Id);
-        this->Parts.Figures.count("jobs_" +
-                                  std::string(toString(Changed.State)) +
-                                  "_total");
+        this->Parts.Figures.count(
+            "jobs_" + std::string(toString(Changed.State)) + "_total");
         if (Written && Changed.State == JobState::Queued)
           this->Waiting.push_back(Changed.Id);
       });
@@ -369,10 +365,9 @@
 void JobService::takeOver(const StoredJob &Job) {
   const JobRecord &Found = Job.Record;
   const bool Mine = Found.Owner == this->Parts.Self;
-  const bool Known =
-      this->InHand.contains(Found.Id) ||
-      std::find(this->Waiting.begin(), this->Waiting.end(), Found.Id) !=
-          this->Waiting.end();
+  const bool Known = this->InHand.contains(Found.Id) ||
+                     std::find(this->Waiting.begin(), this->Waiting.end(),
+                               Found.Id) != this->Waiting.end();
   if (Known || (!Mine && !this->Parts.Around.isGone(Found.Owner)))
     return;
   JobRecord Changed = Found;
@@ -380,9 +375,8 @@
   const bool Repeats =
       this->Parts.Around.isIdempotent(Found.Class).value_or(false);
   // Whether a job that was running ran to its end can't be told.
-  Changed.State = Found.State == JobState::Queued || Repeats
-                      ? JobState::Queued
-                      : JobState::Failed;
+  Changed.State = Found.State == JobState::Queued || Repeats ? JobState::Queued
+                                                             : JobState::Failed;
   if (Changed.State == JobState::Failed)
     Changed.Detail = "its daemon vanished while it may have run";
   logEvent(LogLevel::Info, "job.taken_over",
--- a/packages/jobs/src/jobstore.cpp
+++ b/packages/jobs/src/jobstore.cpp
@@ -52,22 +52,20 @@
   if (!Value)
     return tl::unexpected(Value.error());
   try {
-    Result<JobState> State =
-        decodeState(Value->at("state").get<std::string>());
+    Result<JobState> State = decodeState(Value->at("state").get<std::string>());
     if (!State)
       return tl::unexpected(State.error());
-    return JobRecord{
-        .Id = JobId(Value->at("id").get<std::string>()),
-        .Team = TeamId(Value->at("team").get<std::string>()),
-        .Class = ClassId(Value->at("class").get<std::string>()),
-        .State = *State,
-        .Owner = DaemonId(Value->at("owner").get<std::string>()),
-        .DeadlineMs = Value->at("deadlineMs").get<std::int64_t>(),
-        .Attempts = Value->at("attempts").get<unsigned>(),
-        .PayloadType = Value->at("payloadType").get<std::string>(),
-        .ResultStatus = Value->at("resultStatus").get<unsigned>(),
-        .ResultType = Value->at("resultType").get<std::string>(),
-        .Detail = Value->at("detail").get<std::string>()};
+    return JobRecord{.Id = JobId(Value->at("id").get<std::string>()),
+                     .Team = TeamId(Value->at("team").get<std::string>()),
+                     .Class = ClassId(Value->at("class").get<std::string>()),
+                     .State = *State,
+                     .Owner = DaemonId(Value->at("owner").get<std::string>()),
+                     .DeadlineMs = Value->at("deadlineMs").get<std::int64_t>(),
+                     .Attempts = Value->at("attempts").get<unsigned>(),
+                     .PayloadType = Value->at("payloadType").get<std::string>(),
+                     .ResultStatus = Value->at("resultStatus").get<unsigned>(),
+                     .ResultType = Value->at("resultType").get<std::string>(),
+                     .Detail = Value->at("detail").get<std::string>()};
   } catch (const json::exception &Fault) {
     return makeError(ErrorKind::BadRequest, Fault.what());
   }
@@ -75,8 +73,7 @@
 
 Result<StoredJob> JobStore::create(const JobRecord &Wanted,
                                    const std::string &Payload) {
-  Result<void> Kept =
-      this->Platform.putObject(payloadName(Wanted.Id), Payload);
+  Result<void> Kept = this->Platform.putObject(payloadName(Wanted.Id), Payload);
   if (!Kept)
     return tl::unexpected(Kept.error());
   const RowKey Key = rowKey(Wanted.Id);
@@ -115,10 +112,10 @@
 Result<StoredJob> JobStore::update(const StoredJob &Read,
                                    const JobRecord &Changed) {
   const RowKey Key = rowKey(Read.Record.Id);
-  Result<CommitOutcome> Outcome = commitSettled(
-      this->Platform, Transaction{makeWriteId(),
-                                  {{Key, Read.Rev}},
-                                  {{Key, encodeJob(Changed)}}});
+  Result<CommitOutcome> Outcome =
+      commitSettled(this->Platform, Transaction{makeWriteId(),
+                                                {{Key, Read.Rev}},
+                                                {{Key, encodeJob(Changed)}}});
   if (!Outcome)
     return tl::unexpected(Outcome.error());
   if (*Outcome == CommitOutcome::Conflict)
--- a/packages/jobs/tests/jobs_test.cpp
+++ b/packages/jobs/tests/jobs_test.cpp
@@ -105,7 +105,8 @@
     DaemonId Name;
 
     Daemon(Site &Owner, const std::string &Called)
-        : Work(Owner.Ran), Jobs(JobServiceParts{DaemonId(Called), Owner.Platform, Background,
+        : Work(Owner.Ran),
+          Jobs(JobServiceParts{DaemonId(Called), Owner.Platform, Background,
                                Work, Around, Gate, Clock, Figures}),
           Name(Called) {
       this->Clock.advance(seconds(100));
@@ -131,9 +132,8 @@
     }
 
     std::string stateOf(const std::string &Id) {
-      auto Answer = this->call({.Wanted = JobCall::Verb::Status,
-                                .Id = JobId(Id),
-                                .Key = "team"});
+      auto Answer = this->call(
+          {.Wanted = JobCall::Verb::Status, .Id = JobId(Id), .Key = "team"});
       return Answer ? json::parse(Answer->Body)["state"].get<std::string>()
                     : "";
     }
@@ -160,8 +160,8 @@
   CHECK(A.Work.Open[0].Request.FinishWithin == milliseconds(60000));
   A.Work.end(9);
   A.Background.runAll();
-  auto Result = A.call(
-      {.Wanted = JobCall::Verb::Fetch, .Id = JobId(Id), .Key = "team"});
+  auto Result =
+      A.call({.Wanted = JobCall::Verb::Fetch, .Id = JobId(Id), .Key = "team"});
   REQUIRE(Result.has_value());
   CHECK(Result->Body == "did nesting-1");
 }
@@ -170,8 +170,8 @@
   Site All;
   Site::Daemon A(All, "a#1");
   const std::string Id = A.submit("often", "k");
-  for (const auto Verb : {JobCall::Verb::Status, JobCall::Verb::Fetch,
-                          JobCall::Verb::Cancel}) {
+  for (const auto Verb :
+       {JobCall::Verb::Status, JobCall::Verb::Fetch, JobCall::Verb::Cancel}) {
     auto Answer = A.call({.Wanted = Verb, .Id = JobId(Id), .Key = "other"});
     REQUIRE_FALSE(Answer.has_value());
     CHECK(Answer.error().Kind == ErrorKind::NotFound);
@@ -189,10 +189,9 @@
   Site All;
   Site::Daemon A(All, "a#1");
   const std::string Id = A.submit("often", "k");
-  CHECK(A.call({.Wanted = JobCall::Verb::Cancel,
-                .Id = JobId(Id),
-                .Key = "team"})
-            .has_value());
+  CHECK(
+      A.call({.Wanted = JobCall::Verb::Cancel, .Id = JobId(Id), .Key = "team"})
+          .has_value());
   A.turn();
   CHECK(A.Work.Open.empty());
   CHECK(A.stateOf(Id) == "cancelled");
--- a/packages/membership/include/sardinerill/membership/membership.h
+++ b/packages/membership/include/sardinerill/membership/membership.h
@@ -17,7 +17,7 @@
 /// Times and sizes of the gossip.
 struct GossipOptions {
   /// Reports of others that ride along with one message.
-  std::size_t EntriesPerMessage = 5;
+  std::size_t EntriesPerMessage = 3;
   /// Silence after which a member is not asked for anything.
   Duration SilentAfter = seconds(10);
   /// Team loads in one report, largest first.
@@ -38,7 +38,9 @@
   const DaemonId &self() const { return this->Self; }
 
   /// Starts one round: grows the heartbeat and picks whom to ask.
-  std::optional<OutgoingGossip> tick(Instant Now, std::mt19937_64 &Random);
+  /// Without a recent proof from the platform more members are asked, so that
+  /// hearing all of them takes its place in time.
+  std::vector<OutgoingGossip> tick(Instant Now, std::mt19937_64 &Random);
   /// Answers a peer's round.
   GossipReply answer(const DaemonId &From, const Gossip &Message, Instant Now);
   /// Takes the answer to an own round; one that was not asked for is dropped.
@@ -89,6 +91,10 @@
   void merge(const GossipEntry &Entry, Instant AsOf, Instant Now);
   std::vector<GossipEntry> entriesFor(const DaemonId &To, Instant Now);
   GossipEntry ownEntry(Instant Now) const;
+  HeardAges heardAges(Instant Now) const;
+  void takeAges(const HeardAges &Heard, Instant AskedAt);
+  std::vector<DaemonId> everyone() const;
+  OutgoingGossip ask(Instant Now, std::mt19937_64 &Random);
   void takeEvidence(const GossipEntry &Entry, Instant AsOf);
   void rebuildLoads();
   bool isSuperseded(const DaemonId &Id) const;
--- a/packages/membership/include/sardinerill/membership/membershiptypes.h
+++ b/packages/membership/include/sardinerill/membership/membershiptypes.h
@@ -59,10 +59,24 @@
   DaemonId Id;
   Duration Age{0};
   MemberReport Report;
+  /// Whether the report's loads are sent along; relayed ones leave them out.
+  bool HasLoads = true;
   Contact Where; ///< Address empty where it is left out.
   friend bool operator==(const GossipEntry &, const GossipEntry &) = default;
 };
 
+/// How long ago each member was heard, by any chain of dated answers: one byte
+/// a member, in the order of their ids.
+struct HeardAges {
+  static constexpr Duration Unit = std::chrono::milliseconds(250);
+  static constexpr std::uint8_t Unknown = 255;
+
+  /// Names the list of members; another list's ages mean nothing.
+  std::uint64_t RosterHash = 0;
+  std::vector<std::uint8_t> Ages;
+  friend bool operator==(const HeardAges &, const HeardAges &) = default;
+};
+
 /// A member as it is known here.
 struct Member {
   DaemonId Id;
--- a/packages/membership/include/sardinerill/membership/peermessages.h
+++ b/packages/membership/include/sardinerill/membership/peermessages.h
@@ -20,6 +20,7 @@
   /// Newest fleet version that the sender has heard of.
   FleetVersion Newest = 0;
   std::vector<GossipEntry> Entries;
+  HeardAges Heard;
   friend bool operator==(const Gossip &, const Gossip &) = default;
 };
 
@@ -29,6 +30,7 @@
   /// Newest fleet version that the sender has heard of.
   FleetVersion Newest = 0;
   std::vector<GossipEntry> Entries;
+  HeardAges Heard;
   friend bool operator==(const GossipReply &, const GossipReply &) = default;
 };
 
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -9,9 +9,12 @@
 /// The contact rides along on every so many heartbeats.
 constexpr std::uint64_t ContactEvery = 8;
 constexpr std::uint64_t ContactAtStart = 5;
-constexpr std::size_t MaxOutstanding = 16;
+constexpr std::size_t MaxOutstanding = 32;
 /// A silent member that this many rosters in a row lack has signed off.
 constexpr unsigned RostersToForget = 2;
+/// A proof this young needs no help; the platform is asked every few seconds.
+constexpr Duration ProofIsRecent = seconds(7);
+constexpr unsigned AskedWithoutProof = 3;
 /// Silent members are still asked now and then, so that they can come back.
 constexpr unsigned SilentOneIn = 4;
 
@@ -21,6 +24,15 @@
   return NameA.Vm == NameB.Vm && NameA.Incarnation < NameB.Incarnation;
 }
 
+/// FNV-1a over the identifiers, the same in every process.
+std::uint64_t hashOf(const std::vector<DaemonId> &Ids) {
+  std::uint64_t Hash = 0xcbf29ce484222325ULL;
+  for (const DaemonId &Id : Ids)
+    for (unsigned char Byte : Id.str() + ";")
+      Hash = (Hash ^ Byte) * 0x100000001b3ULL;
+  return Hash;
+}
+
 bool sendsContact(std::uint64_t Heartbeat) {
   return Heartbeat <= ContactAtStart || Heartbeat % ContactEvery == 0;
 }
@@ -31,7 +43,7 @@
     : Self(std::move(Self)), Where(std::move(Where)), Options(Options) {}
 
 GossipEntry Membership::ownEntry(Instant Now) const {
-  GossipEntry Entry{this->Self, Duration(0), this->Own, {}};
+  GossipEntry Entry{this->Self, Duration(0), this->Own, true, {}};
   if (this->ProvenAt)
     Entry.Report.EvidenceAge = Now - *this->ProvenAt;
   if (sendsContact(this->Own.Heartbeat))
@@ -50,7 +62,7 @@
       std::min(Heard.size(), this->Options.EntriesPerMessage);
   for (std::size_t Step = 0; Step < Count; ++Step) {
     const Member &Other = *Heard[this->RelayCursor++ % Heard.size()];
-    GossipEntry Entry{Other.Id, Now - Other.AsOf, Other.Report, {}};
+    GossipEntry Entry{Other.Id, Now - Other.AsOf, Other.Report, false, {}};
     if (sendsContact(Other.Report.Heartbeat))
       Entry.Where = Other.Where;
     Entries.push_back(std::move(Entry));
@@ -58,11 +70,20 @@
   return Entries;
 }
 
-std::optional<OutgoingGossip> Membership::tick(Instant Now,
-                                               std::mt19937_64 &Random) {
+std::vector<OutgoingGossip> Membership::tick(Instant Now,
+                                             std::mt19937_64 &Random) {
   ++this->Own.Heartbeat;
+  std::vector<OutgoingGossip> Round;
   if (this->Others.empty())
-    return std::nullopt;
+    return Round;
+  const bool IsProven = this->ProvenAt && Now - *this->ProvenAt < ProofIsRecent;
+  const unsigned Count = IsProven ? 1 : AskedWithoutProof;
+  for (unsigned Number = 0; Number < Count; ++Number)
+    Round.push_back(this->ask(Now, Random));
+  return Round;
+}
+
+OutgoingGossip Membership::ask(Instant Now, std::mt19937_64 &Random) {
   std::vector<DaemonId> Heard = this->alive(Now);
   std::vector<DaemonId> Silent;
   for (const auto &[Id, Other] : this->Others)
@@ -76,8 +97,9 @@
   this->Outstanding[Nonce] = Asked{Now, To};
   if (this->Outstanding.size() > MaxOutstanding)
     this->Outstanding.erase(this->Outstanding.begin());
-  return OutgoingGossip{
-      To, Gossip{Nonce, this->NewestHeard, this->entriesFor(To, Now)}};
+  return OutgoingGossip{To, Gossip{Nonce, this->NewestHeard,
+                                   this->entriesFor(To, Now),
+                                   this->heardAges(Now)}};
 }
 
 GossipReply Membership::answer(const DaemonId &From, const Gossip &Message,
@@ -88,7 +110,7 @@
   for (const GossipEntry &Entry : Message.Entries)
     this->merge(Entry, Instant{}, Now);
   return GossipReply{Message.Nonce, this->NewestHeard,
-                     this->entriesFor(From, Now)};
+                     this->entriesFor(From, Now), this->heardAges(Now)};
 }
 
 void Membership::receive(const GossipReply &Message, Instant Now) {
@@ -98,6 +120,8 @@
   const Instant AskedAt = Question->second.At;
   this->Outstanding.erase(Question);
   this->NewestHeard = std::max(this->NewestHeard, Message.Newest);
+  if (Message.Newest <= this->Own.Version)
+    this->takeAges(Message.Heard, AskedAt);
   for (const GossipEntry &Entry : Message.Entries) {
     const bool Dated = Entry.Age < Duration(AskedAt.time_since_epoch());
     const Instant AsOf = Dated ? AskedAt - Entry.Age : Instant{};
@@ -106,6 +130,46 @@
   }
 }
 
+std::vector<DaemonId> Membership::everyone() const {
+  std::vector<DaemonId> Ids{this->Self};
+  for (const auto &[Id, Other] : this->Others)
+    Ids.push_back(Id);
+  std::sort(Ids.begin(), Ids.end());
+  return Ids;
+}
+
+HeardAges Membership::heardAges(Instant Now) const {
+  HeardAges Heard;
+  const std::vector<DaemonId> Ids = this->everyone();
+  Heard.RosterHash = hashOf(Ids);
+  for (const DaemonId &Id : Ids) {
+    const Instant AsOf = Id == this->Self ? Now : this->Others.at(Id).AsOf;
+    // Rounded up: an age must never come out younger than it is.
+    const auto Units =
+        (Now - AsOf + HeardAges::Unit - Duration(1)) / HeardAges::Unit;
+    const bool Known =
+        AsOf != Instant{} && Units < Duration::rep(HeardAges::Unknown);
+    Heard.Ages.push_back(Known ? static_cast<std::uint8_t>(Units)
+                               : HeardAges::Unknown);
+  }
+  return Heard;
+}
+
+/// Whoever was heard along the way had nothing newer than what the answer names
+/// as the newest, for every message names that.
+void Membership::takeAges(const HeardAges &Heard, Instant AskedAt) {
+  const std::vector<DaemonId> Ids = this->everyone();
+  if (Heard.RosterHash != hashOf(Ids) || Heard.Ages.size() != Ids.size())
+    return;
+  for (std::size_t Index = 0; Index < Ids.size(); ++Index) {
+    auto Known = this->Others.find(Ids[Index]);
+    if (Known == this->Others.end() || Heard.Ages[Index] == HeardAges::Unknown)
+      continue;
+    const Instant AsOf = AskedAt - HeardAges::Unit * Heard.Ages[Index];
+    Known->second.AsOf = std::max(Known->second.AsOf, AsOf);
+  }
+}
+
 ReportPush Membership::pushReport(Instant Now) {
   ++this->Own.Heartbeat;
   GossipEntry Entry = this->ownEntry(Now);
@@ -141,7 +205,10 @@
   Member &Other = Known->second;
   const bool Newer = Entry.Report.Heartbeat > Other.Report.Heartbeat;
   if (Newer || !Other.WasHeard) {
+    std::vector<TeamRunning> Loads = std::move(Other.Report.Loads);
     Other.Report = Entry.Report;
+    if (!Entry.HasLoads)
+      Other.Report.Loads = std::move(Loads);
     Other.HeardAt = Now;
     Other.WasHeard = true;
     this->rebuildLoads();
--- a/packages/membership/src/peermessages.cpp
+++ b/packages/membership/src/peermessages.cpp
@@ -48,6 +48,8 @@
     Loads.push_back(Load.Team.str());
     Loads.push_back(Load.Running);
   }
+  if (!Entry.HasLoads)
+    Loads = nullptr;
   json Item{Entry.Id.str(),
             encodeAge(Entry.Age),
             Entry.Report.Heartbeat,
@@ -72,7 +74,9 @@
   Entry.Report.EvidenceAge = decodeAge(Item.at(4));
   for (const json &Vm : checkedList(Item.at(5)))
     Entry.Report.BusyDraining.emplace_back(Vm.get<std::string>());
-  const json &Loads = checkedList(Item.at(6));
+  Entry.HasLoads = !Item.at(6).is_null();
+  static const json NoLoads = json::array();
+  const json &Loads = Entry.HasLoads ? checkedList(Item.at(6)) : NoLoads;
   for (std::size_t Index = 0; Index + 2 < Loads.size(); Index += 3)
     Entry.Report.Loads.push_back(
         TeamRunning{PoolId(Loads[Index].get<std::string>()),
@@ -99,13 +103,27 @@
   return Entries;
 }
 
+json encodeGossip(std::uint64_t Nonce, FleetVersion Newest,
+                  const std::vector<GossipEntry> &Entries,
+                  const HeardAges &Heard) {
+  return json{Nonce, Newest, encodeEntries(Entries), Heard.RosterHash,
+              json::binary(Heard.Ages)};
+}
+
+HeardAges decodeHeard(const json &Fields) {
+  HeardAges Heard;
+  Heard.RosterHash = Fields.at(3).get<std::uint64_t>();
+  Heard.Ages = Fields.at(4).get_binary();
+  return Heard;
+}
+
 /// Turns each message into its list of fields.
 struct EncodeFields {
   json operator()(const Gossip &M) const {
-    return json{M.Nonce, M.Newest, encodeEntries(M.Entries)};
+    return encodeGossip(M.Nonce, M.Newest, M.Entries, M.Heard);
   }
   json operator()(const GossipReply &M) const {
-    return json{M.Nonce, M.Newest, encodeEntries(M.Entries)};
+    return encodeGossip(M.Nonce, M.Newest, M.Entries, M.Heard);
   }
   json operator()(const VersionHint &M) const {
     return json::array({M.Version});
@@ -144,11 +162,12 @@
 constexpr std::array<DecodeFields, std::variant_size_v<PeerMessage>> Decoders{
     [](const json &F) -> PeerMessage {
       return Gossip{F.at(0).get<std::uint64_t>(), F.at(1).get<FleetVersion>(),
-                    decodeEntries(F.at(2))};
+                    decodeEntries(F.at(2)), decodeHeard(F)};
     },
     [](const json &F) -> PeerMessage {
       return GossipReply{F.at(0).get<std::uint64_t>(),
-                         F.at(1).get<FleetVersion>(), decodeEntries(F.at(2))};
+                         F.at(1).get<FleetVersion>(), decodeEntries(F.at(2)),
+                         decodeHeard(F)};
     },
     [](const json &F) -> PeerMessage {
       return VersionHint{F.at(0).get<FleetVersion>()};
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -47,15 +47,15 @@
   void round() {
     this->Now += seconds(1);
     for (std::size_t From = 0; From < this->All.size(); ++From) {
-      auto Out = this->All[From].tick(this->Now, this->Random);
-      if (!Out)
-        continue;
-      const int To = this->numberOf(Out->To);
-      if (this->isCut(int(From), To))
-        continue;
-      auto Reply = this->All[std::size_t(To)].answer(this->All[From].self(),
-                                                     Out->Message, this->Now);
-      this->All[From].receive(Reply, this->Now);
+      for (const OutgoingGossip &Out :
+           this->All[From].tick(this->Now, this->Random)) {
+        const auto To = std::size_t(this->numberOf(Out.To));
+        if (this->isCut(int(From), int(To)))
+          continue;
+        auto Reply = this->All[To].answer(this->All[From].self(), Out.Message,
+                                          this->Now);
+        this->All[From].receive(Reply, this->Now);
+      }
     }
   }
 };
@@ -101,13 +101,26 @@
 }
 
 TEST_CASE("with the platform down for all, hearing everybody is proof") {
+  for (int Count : {6, 48}) {
+    Cluster Daemons(Count);
+    for (Membership &Each : Daemons.All)
+      Each.setVersion(3);
+    for (int Round = 0; Round < 60; ++Round)
+      Daemons.round();
+    Duration Oldest{0};
+    for (int Round = 0; Round < 60; ++Round) {
+      Daemons.round();
+      for (Membership &Each : Daemons.All)
+        Oldest = std::max(Oldest, Daemons.Now - Each.freshSince());
+    }
+    // The default of cutOff.serveKeysForMs.
+    CHECK(Oldest <= seconds(10));
+  }
   Cluster Daemons(6);
   for (Membership &Each : Daemons.All)
     Each.setVersion(3);
   for (int Round = 0; Round < 60; ++Round)
     Daemons.round();
-  for (Membership &Each : Daemons.All)
-    CHECK(Each.freshSince() >= Daemons.Now - seconds(10));
   // One zone is cut off: it can no longer know what the others do.
   for (int Other = 1; Other < 6; ++Other)
     Daemons.Cut.insert({0, Other});
@@ -152,9 +165,10 @@
   Membership View(daemonAt(0), contact(0), {});
   const Instant Now(seconds(5));
   auto Say = [&](std::uint64_t Incarnation, std::uint64_t Heartbeat) {
-    GossipEntry Entry{daemonAt(1, Incarnation), Duration(0), {}, contact(1)};
+    GossipEntry Entry{
+        daemonAt(1, Incarnation), Duration(0), {}, true, contact(1)};
     Entry.Report.Heartbeat = Heartbeat;
-    View.answer(daemonAt(1, Incarnation), Gossip{1, 0, {Entry}}, Now);
+    View.answer(daemonAt(1, Incarnation), Gossip{1, 0, {Entry}, {}}, Now);
   };
   Say(1, 50);
   Say(2, 1);
@@ -165,12 +179,14 @@
 
 TEST_CASE("a member that was dropped is not brought back by old news") {
   Membership View(daemonAt(0), contact(0), {});
-  GossipEntry Entry{daemonAt(1), seconds(11), {}, contact(1)};
+  GossipEntry Entry{daemonAt(1), seconds(11), {}, true, contact(1)};
   Entry.Report.Heartbeat = 50;
-  (void)View.answer(daemonAt(2), Gossip{1, 0, {Entry}}, Instant(seconds(5)));
+  (void)View.answer(daemonAt(2), Gossip{1, 0, {Entry}, {}},
+                    Instant(seconds(5)));
   CHECK(View.members().empty());
   Entry.Age = seconds(1);
-  (void)View.answer(daemonAt(2), Gossip{2, 0, {Entry}}, Instant(seconds(5)));
+  (void)View.answer(daemonAt(2), Gossip{2, 0, {Entry}, {}},
+                    Instant(seconds(5)));
   CHECK(View.members().size() == 1);
 }
 
@@ -204,7 +220,7 @@
 
 TEST_CASE("messages come back as they were sent") {
   const PeerCodec Codec("secret");
-  GossipEntry Entry{daemonAt(3), milliseconds(4), {}, contact(3)};
+  GossipEntry Entry{daemonAt(3), milliseconds(4), {}, true, contact(3)};
   Entry.Report = {
       9, 8, milliseconds(7), {VmId("w")}, {{PoolId("p"), TeamId("t"), 6}}};
   const std::vector<PeerMessage> Messages{
@@ -222,7 +238,8 @@
     REQUIRE(Back.has_value());
     CHECK(*Back == PeerEnvelope{daemonAt(1), Message});
   }
-  auto Back = Codec.decode(Codec.encode({daemonAt(1), Gossip{2, 0, {Entry}}}));
+  auto Back =
+      Codec.decode(Codec.encode({daemonAt(1), Gossip{2, 0, {Entry}, {}}}));
   REQUIRE(Back.has_value());
   const GossipEntry &Got = std::get<Gossip>(Back->Message).Entries.at(0);
   CHECK(Got.Where == Entry.Where);
@@ -240,8 +257,10 @@
             .Kind == ErrorKind::NotPermitted);
   CHECK(rc::check("any bytes, sealed by a peer gone wrong", [&] {
     std::string Frame = Codec.encode(
-        {daemonAt(1),
-         Gossip{1, 0, {{daemonAt(2), Duration(0), {}, contact(2)}}}});
+        {daemonAt(1), Gossip{1,
+                             0,
+                             {{daemonAt(2), Duration(0), {}, true, contact(2)}},
+                             {5, {1, 2}}}});
     const auto Place = *rc::gen::inRange<std::size_t>(0, Frame.size());
     Frame[Place] = *rc::gen::arbitrary<char>();
     (void)Codec.decode(Frame);
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -96,6 +96,15 @@
    "rate": 10, "runMs": 5, "idempotent": true}]}
 EOF
 
+say "a job with a deadline is kept and accepted"
+job=$(curl -s -X POST -H "Authorization: Bearer $key_workshop" \
+  -d "id=job-1 team=workshop run=200" http://127.0.0.1:18011/v1/jobs/nesting |
+  grep -o '"jobId":"[^"]*"' | cut -d'"' -f4)
+job_result() {
+  curl -s -H "Authorization: Bearer $key_workshop" \
+    "http://127.0.0.1:18011/v1/jobs/$job/result"
+}
+
 say "14 s of work; a roll-out of pool bend begins after 1 s"
 "$standins/load_tool" --file "$work/scenario.json" --killed 127.0.0.1:18013 \
   > "$work/report.txt" &
@@ -127,6 +136,8 @@
 say "what the callers saw"
 cat "$work/report.txt"
 printf '  %-34s %s\n' "roll-out time" "$rollout_time"
+printf '  %-34s %s\n' "result of the job" "$(job_result)"
+if [ "$(job_result)" != "answer job-1" ]; then verdict=1; fi
 if [ "$stop_code" != 0 ] || [ "$rollout_time" = "not finished" ]; then
   verdict=1
 fi
--- a/scripts/make_fleets.py
+++ b/scripts/make_fleets.py
@@ -40,6 +40,7 @@
 }
 
 VMS_PER_POOL = 10
+DEADLINE_MS = 8 * 3600 * 1000
 VMS_PER_RACK = 4
 
 
@@ -54,6 +55,7 @@
         lines.append(
             f"  {name}: {{pool: {pool}, targetMs: {target}, maxRunMs: {run}, "
             f"idempotent: {str(idempotent).lower()}, "
+            + (f"deadlineMs: {DEADLINE_MS}, " if target >= 60000 else "") +
             f"open: {str(is_open).lower()}}}")
     lines.append("teams:")
     lines += [f"  {name}: {{share: {share}, ceiling: {ceiling}}}"
