Proofs of freshness outlive a newer version's arrival, and date only what they saw

Cause: `make demo` still refused one request with key_not_fresh. A daemon that heard of a newer version, and one that had just put it in force, threw away the proof that it had.

Change: a proof stands as what it is, since when nothing newer was in force: it is kept when a newer version is heard of or adopted, and lapses with the grace as any does. Only what members were heard to know stops counting until the version is here.

The time at which a member was last heard, which the ages move on, also dated its report, so that the age of the report's evidence was counted from too late; and of two reports with one heartbeat the later moved the date without its evidence's age. Reports now have a date of their own and are replaced whole.

Also found with 48 daemons: a change stayed pending at three, for a daemon that read the version after a hint never acknowledged it (only the next gossip did). It now does, once the version is in force.

--- a/packages/control/include/sardinerill/control/fleetkeeper.h
+++ b/packages/control/include/sardinerill/control/fleetkeeper.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 
 /// \file
 /// Keeps this daemon's fleet the newest that can be had.
@@ -60,6 +61,8 @@
   FleetSnapshot Newest;
   std::shared_ptr<const Fleet> Current;
   std::mt19937_64 Random{7};
+  /// Peers that hinted at a version and wait for the acknowledgement.
+  std::set<DaemonId> Hinters;
   bool Polling = false;
   bool PollAgain = false;
   bool PlatformAnswers = false;
--- a/packages/control/src/fleetkeeper.cpp
+++ b/packages/control/src/fleetkeeper.cpp
@@ -3,6 +3,8 @@
 #include "sardinerill/base/logging.h"
 #include "sardinerill/fleet/fleetdocument.h"
 
+#include <utility>
+
 namespace sardinerill {
 
 FleetKeeper::FleetKeeper(IPlatform &Platform, IBackground &Background,
@@ -80,6 +82,8 @@
   if (this->Handler)
     this->Handler(this->Current);
   this->Members.setVersion(Snapshot.Version);
+  for (const DaemonId &Hinter : std::exchange(this->Hinters, {}))
+    this->Peers.send(Hinter, VersionAck{Snapshot.Version});
   this->Figures.setGauge("fleet_version", double(Snapshot.Version));
   logEvent(LogLevel::Info, "fleet.adopted",
            {{"version", std::to_string(Snapshot.Version)}});
@@ -122,6 +126,7 @@
     this->Peers.send(From, VersionAck{this->Newest.Version});
     return;
   }
+  this->Hinters.insert(From);
   this->poll();
 }
 
--- a/packages/membership/include/sardinerill/membership/membershiptypes.h
+++ b/packages/membership/include/sardinerill/membership/membershiptypes.h
@@ -87,6 +87,8 @@
   /// Rosters in a row that the member was missing from.
   unsigned MissingFromRoster = 0;
   /// The report was true then, by this daemon's clock.
+  Instant ReportAsOf{};
+  /// The member was heard then, if only by a chain of others.
   Instant AsOf{};
   /// The heartbeat last grew then.
   Instant HeardAt{};
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -62,7 +62,8 @@
       std::min(Heard.size(), this->Options.EntriesPerMessage);
   for (std::size_t Step = 0; Step < Count; ++Step) {
     const Member &Other = *Heard[this->RelayCursor++ % Heard.size()];
-    GossipEntry Entry{Other.Id, Now - Other.AsOf, Other.Report, false, {}};
+    GossipEntry Entry{
+        Other.Id, Now - Other.ReportAsOf, Other.Report, false, {}};
     if (sendsContact(Other.Report.Heartbeat))
       Entry.Where = Other.Where;
     Entries.push_back(std::move(Entry));
@@ -203,18 +204,23 @@
     Known = this->Others.emplace(Entry.Id, Member{Entry.Id, Entry.Where}).first;
   }
   Member &Other = Known->second;
-  const bool Newer = Entry.Report.Heartbeat > Other.Report.Heartbeat;
-  if (Newer || !Other.WasHeard) {
+  const bool Advanced =
+      Entry.Report.Heartbeat > Other.Report.Heartbeat || !Other.WasHeard;
+  // Of one heartbeat the later report counts: its evidence has aged.
+  const bool Later = Entry.Report.Heartbeat == Other.Report.Heartbeat &&
+                     AsOf > Other.ReportAsOf;
+  if (Advanced)
+    Other.HeardAt = Now;
+  if (Advanced || Later) {
     std::vector<TeamRunning> Loads = std::move(Other.Report.Loads);
     Other.Report = Entry.Report;
     if (!Entry.HasLoads)
       Other.Report.Loads = std::move(Loads);
-    Other.HeardAt = Now;
+    Other.ReportAsOf = AsOf;
     Other.WasHeard = true;
     this->rebuildLoads();
   }
-  if (Entry.Report.Heartbeat >= Other.Report.Heartbeat)
-    Other.AsOf = std::max(Other.AsOf, AsOf);
+  Other.AsOf = std::max(Other.AsOf, AsOf);
 }
 
 void Membership::rebuildLoads() {
@@ -269,7 +275,7 @@
     return;
   this->Own.Version = Version;
   this->NewestHeard = std::max(this->NewestHeard, Version);
-  this->ProvenAt.reset();
+  // An earlier proof stands: what was then the newest is older than this.
 }
 
 void Membership::setBusyDraining(std::vector<VmId> Busy) {
@@ -304,8 +310,10 @@
 }
 
 Instant Membership::freshSince() const {
+  // A newer version that was heard of leaves the last proof what it was; only
+  // what the others were heard to know no longer counts.
   if (this->NewestHeard > this->Own.Version)
-    return Instant{};
+    return this->ProvenAt.value_or(Instant{});
   Instant AllHeard = Instant::max();
   for (const auto &[Id, Other] : this->Others)
     AllHeard = std::min(AllHeard, Other.AsOf);
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -129,6 +129,17 @@
   CHECK(Daemons.All[0].freshSince() < Daemons.Now - seconds(10));
 }
 
+TEST_CASE("hearing of a newer version does not stop work at once") {
+  Membership View(daemonAt(0), contact(0), {});
+  View.setVersion(3);
+  View.proveNewest(3, Instant(seconds(100)));
+  (void)View.answer(daemonAt(1), Gossip{1, 4, {}, {}}, Instant(seconds(101)));
+  CHECK(View.newestHeard() == 4);
+  CHECK(View.freshSince() == Instant(seconds(100)));
+  View.setVersion(4);
+  CHECK(View.freshSince() == Instant(seconds(100)));
+}
+
 // Promise: a withdrawn key stops working. Freshness must never be claimed for a
 // moment at which a newer version was in force anywhere that was heard.
 TEST_CASE("no daemon claims freshness later than the newest version's start") {
