A VM counts as drained only by the table's roster

Cause: one of two runs of `make demo` cut off three requests by a reboot. The holder of the maintenance duty asked the members that it knew whether they still ran work on the draining VM. The demo waits until entry-1 knows the others, not until whichever daemon holds the duty does. This was found by going through what the decision rests on; the log of that run was gone, so that it was not seen which member was unknown.

Ruled out: work started on a draining VM (the choice sees serving VMs only), reports out of order (older ones of a heartbeat are not taken), reboots ordered twice (they name the boots expected).

Change: while a VM drains, each round of the duty reads the roster from the table, after the version in which it drains, and takes in members that it did not know; they have reported nothing and so hold the reboot back. Without the roster nothing is called drained. A daemon that registers later reads the draining version before it takes work.

Before: a test with a registered daemon unknown to the holder rebooted the VM (by the code as it was, the member list alone decided). After: the VM waits until that daemon has reported.

Conclusion: what the decision to reboot rests on is now read, not assumed.

--- a/packages/control/include/sardinerill/control/maintenanceduty.h
+++ b/packages/control/include/sardinerill/control/maintenanceduty.h
@@ -2,9 +2,11 @@
 
 #include "sardinerill/control/dutylease.h"
 #include "sardinerill/control/fleetkeeper.h"
+#include "sardinerill/control/roster.h"
 #include "sardinerill/fleet/maintenance.h"
 
 #include <functional>
+#include <optional>
 
 /// \file
 /// The duty that carries out roll-outs and moves.
@@ -41,11 +43,15 @@
   struct Round {
     Result<DutyView> Duty;
     Result<std::vector<VmListEntry>> Vms;
+    /// Read while a VM drains: a member that is not known here yet may run work
+    /// on it.
+    std::optional<Result<std::map<DaemonId, Contact>>> Roster;
   };
 
   void endRound(Round Read);
   Duration pause() const;
   bool hasWork() const;
+  bool isDraining() const;
   void act(const std::vector<VmListEntry> &Vms);
   FleetObservation observe(const Fleet &Current,
                            const std::vector<VmListEntry> &Vms) const;
--- a/packages/control/src/maintenanceduty.cpp
+++ b/packages/control/src/maintenanceduty.cpp
@@ -36,9 +36,9 @@
   this->InRound = true;
   runFor<Round>(
       this->Background,
-      [Platform = &this->Platform, Seen = this->Seen,
-       Self = this->Members.self(), Now] {
-        Round Read{readDuty(*Platform, DutyName), {}};
+      [Platform = &this->Platform, Draining = this->isDraining(),
+       Seen = this->Seen, Self = this->Members.self(), Now] {
+        Round Read{readDuty(*Platform, DutyName), {}, {}};
         if (!Read.Duty)
           return Read;
         // A row that has not moved keeps the time it was first seen at.
@@ -49,6 +49,8 @@
         Read.Duty = holdDuty(*Platform, DutyName, *Read.Duty, Self);
         if (Read.Duty)
           Read.Vms = Platform->listVms();
+        if (Read.Duty && Draining)
+          Read.Roster = readRoster(*Platform);
         return Read;
       },
       [this](Round Read) { this->endRound(std::move(Read)); });
@@ -65,6 +67,14 @@
       });
 }
 
+bool MaintenanceDuty::isDraining() const {
+  const std::shared_ptr<const Fleet> Current = this->Keeper.current();
+  return std::any_of(Current->Vms.begin(), Current->Vms.end(),
+                     [](const auto &Entry) {
+                       return Entry.second.State == VmState::Draining;
+                     });
+}
+
 Duration MaintenanceDuty::pause() const {
   if (!this->Held)
     return WatchPause;
@@ -95,7 +105,12 @@
   if (this->Held && !WasHeld)
     logEvent(LogLevel::Info, "duty.taken",
              {{"duty", DutyName}, {"fence", std::to_string(this->Seen.Fence)}});
-  if (this->Held && Read.Vms && !Read.Vms->empty())
+  if (Read.Roster && *Read.Roster)
+    this->Members.learnRoster(**Read.Roster, this->Clock.now());
+  // Without the roster nothing can be called drained.
+  const bool Complete =
+      !this->isDraining() || (Read.Roster && Read.Roster->has_value());
+  if (this->Held && Read.Vms && !Read.Vms->empty() && Complete)
     this->act(*Read.Vms);
   const bool Again = std::exchange(this->KickedInRound, false);
   this->NextRound = Again ? Instant{} : this->Clock.now() + this->pause();
--- a/packages/control/tests/control_test.cpp
+++ b/packages/control/tests/control_test.cpp
@@ -1,5 +1,6 @@
 #include "sardinerill/control/dutylease.h"
 #include "sardinerill/control/fleetkeeper.h"
+#include "sardinerill/control/maintenanceduty.h"
 #include "sardinerill/control/roster.h"
 #include "sardinerill/platform/memoryplatform.h"
 
@@ -182,6 +183,56 @@
   CHECK(Log.append({}, {0, Patch, "next", {fenceOf("d", Taken)}}).has_value());
 }
 
+// Promise: a planned stop cuts off no request in flight.
+TEST_CASE("a VM is not rebooted before every daemon of the roster reported") {
+  struct NothingKnown : IMaintenanceView {
+    bool isSuspected(const VmId &) const override { return false; }
+    unsigned runningOn(const VmId &) const override { return 0; }
+  };
+  MemoryPlatform Platform;
+  Platform.setVms({{VmId("w"), VmListState::Live, 1}});
+  // Another daemon that the holder has not heard of.
+  REQUIRE(registerDaemon(Platform, {"other", 1},
+                         Contact{ZoneId("z"), "127.0.0.1", 1})
+              .has_value());
+  Keeping Holder(Platform, "holder");
+  NothingKnown View;
+  MaintenanceDuty Duty(Platform, Holder.Background, Holder.Keeper,
+                       Holder.Members, View, Holder.Gate, Holder.Clock,
+                       Holder.Figures);
+  const json Document{{"rackMaxUnavailable", 1},
+                      {"pools", {{"p", {{"generation", 1}}}}},
+                      {"zones", {{"z", json::object()}}},
+                      {"vms",
+                       {{"w",
+                         {{"pool", "p"},
+                          {"zone", "z"},
+                          {"rack", "r"},
+                          {"address", "10.0.0.1"},
+                          {"port", 1}}}}}};
+  Holder.Keeper.append(FleetChange{0, Document, "test", {}},
+                       [](const Result<FleetVersion> &) {});
+  auto StateOf = [&] {
+    return Holder.Keeper.current()->Vms.at(VmId("w")).State;
+  };
+  for (int Round = 0; Round < 5; ++Round) {
+    Holder.Clock.advance(seconds(6));
+    Duty.tick();
+  }
+  CHECK((StateOf() == VmState::Draining));
+  CHECK(Platform.rebooted().empty());
+  GossipEntry Entry{DaemonId("other#1"), Duration(0), {}, true, {}};
+  Entry.Report.Heartbeat = 1;
+  Entry.Report.Version = Holder.Keeper.current()->Version;
+  Holder.Members.receive(ReportPush{Entry}, Holder.Clock.now());
+  for (int Round = 0; Round < 5; ++Round) {
+    Holder.Clock.advance(seconds(6));
+    Duty.tick();
+  }
+  CHECK((StateOf() == VmState::Serving));
+  CHECK(Platform.rebooted() == std::vector<VmId>{VmId("w")});
+}
+
 TEST_CASE("a dropped duty is taken at once") {
   MemoryPlatform Platform;
   const DutyView Held = holdDuty(Platform, "d", {}, DaemonId("a#1")).value();
