Loans go by the longest run that both sides reckon with

Cause: read again promise by promise. A lender takes a unit back after the longest run of the fleet version that it goes by. When an operator raises a class's maxRunMs, a borrower that has the new version may start a longer task under a loan of a lender that had the old one: the lender counts the unit as free while the task runs, and the team is over its ceiling. No history changed the run limits, so that none noticed.

Change: an offer carries the longest run that its lender reckons with; a borrower with a longer one gives it back, and starts nothing more under earlier loans once its own grows. A predecessor's units are counted as in use once, however often the take-over is tried (each try counted them again, which kept them idle for longer than needed).

Conclusion: closed for loans.

--- a/packages/escrow/include/sardinerill/escrow/escrowagent.h
+++ b/packages/escrow/include/sardinerill/escrow/escrowagent.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 
 /// \file
 /// Keeps one daemon's ledgers supplied: by the table where units are free, by
@@ -108,6 +109,8 @@
     bool ServedWaiterLast = false;
     unsigned Peak = 0;
     Instant PeakSince{};
+    /// Predecessors whose units are already counted as in use.
+    std::set<DaemonId> Inherited;
   };
 
   State &stateOf(const ResourceId &Resource);
--- a/packages/escrow/include/sardinerill/escrow/escrowledger.h
+++ b/packages/escrow/include/sardinerill/escrow/escrowledger.h
@@ -51,7 +51,9 @@
   bool holdsLoan(const LoanId &Loan) const {
     return this->Loans.contains(Loan);
   }
-  void setTimes(EscrowTimes NewTimes) { this->Times = NewTimes; }
+  /// Takes over new times. When runs may be longer, nothing more starts under
+  /// loans taken so far: their lenders reckon with the shorter ones.
+  void setTimes(EscrowTimes NewTimes, Instant Now);
   bool isFrozen() const { return this->Frozen; }
 
   /// Gives up own units that are free, before the lowering is sent.
--- a/packages/escrow/include/sardinerill/escrow/escrowtypes.h
+++ b/packages/escrow/include/sardinerill/escrow/escrowtypes.h
@@ -69,6 +69,8 @@
   Duration Window{0};
   /// Fleet version of the limit that the lender goes by.
   std::uint64_t LimitVersion = 0;
+  /// Longest run that the lender reckons with.
+  Duration MaxRun{0};
   friend bool operator==(const LoanOffer &, const LoanOffer &) = default;
 };
 
--- a/packages/escrow/src/escrowagent.cpp
+++ b/packages/escrow/src/escrowagent.cpp
@@ -89,7 +89,7 @@
     if (Current.Limit > 0)
       Named.try_emplace(Resource, ResourceLimit{Resource, 0, Version});
   for (auto &[Resource, Current] : this->Resources)
-    Current.Ledger.setTimes(Times);
+    Current.Ledger.setTimes(Times, this->Clock.now());
   for (const auto &[Resource, Entry] : Named) {
     State &Current = this->stateOf(Resource);
     if (Entry.Version <= Current.LimitVersion)
@@ -304,7 +304,9 @@
   const Question Answered = *Current.Asked;
   Current.Asked.reset();
   // A lender that goes by an older limit may lend what is no longer there.
-  const bool Outdated = Offer.LimitVersion < Current.LimitVersion;
+  // One that reckons with shorter runs would take it back too early.
+  const bool Outdated = Offer.LimitVersion < Current.LimitVersion ||
+                        Offer.MaxRun < this->Options.Times.MaxRun;
   if (Outdated && Offer.Units > 0)
     this->Peers.returnLoan(Offer.Id, Resource);
   if (Offer.Units == 0 || Outdated) {
@@ -395,7 +397,8 @@
           }
           // Counted as in use before the row is touched: if the outcome stays
           // unknown, the predecessor's tasks are still accounted for.
-          Current.Ledger.applyInherited(Left.Units, this->Clock.now());
+          if (Current.Inherited.insert(Left.Holder).second)
+            Current.Ledger.applyInherited(Left.Units, this->Clock.now());
           GrantOperation Inherit;
           Inherit.InheritFrom = Left.Holder;
           this->startOperation(Left.Resource, Current, Inherit,
--- a/packages/escrow/src/escrowledger.cpp
+++ b/packages/escrow/src/escrowledger.cpp
@@ -58,6 +58,15 @@
     --Loan->second.Running;
 }
 
+void EscrowLedger::setTimes(EscrowTimes NewTimes, Instant Now) {
+  const bool Longer = NewTimes.MaxRun > this->Times.MaxRun;
+  this->Times = NewTimes;
+  if (!Longer)
+    return;
+  for (auto &[Id, Loan] : this->Loans)
+    Loan.StartUntil = std::min(Loan.StartUntil, Now);
+}
+
 void EscrowLedger::freeze(Instant Now) {
   this->Frozen = true;
   for (auto &[Id, Loan] : this->Loans)
@@ -70,7 +79,7 @@
   if (Units > 0)
     this->LentOut.emplace(Id.Number,
                           Lent{Units, Now + this->Times.settleTime()});
-  return LoanOffer{Id, Units, this->Times.LoanWindow, 0};
+  return LoanOffer{Id, Units, this->Times.LoanWindow, 0, this->Times.MaxRun};
 }
 
 void EscrowLedger::acceptLoan(const LoanOffer &Offer, Instant AskedAt) {
--- a/packages/escrow/tests/escrow_test.cpp
+++ b/packages/escrow/tests/escrow_test.cpp
@@ -427,6 +427,32 @@
   CHECK(*reclaimAll(All.Platform, Gone) == 0);
 }
 
+TEST_CASE("a loan is no good for runs longer than its lender reckons with") {
+  const Instant Now(seconds(100));
+  EscrowLedger Lender(DaemonId("a#1"), Times);
+  Lender.applyGrant({DaemonId("a#1"), 1, 1});
+  const LoanOffer Offer = Lender.lend(1, Now);
+  CHECK(Offer.MaxRun == Times.MaxRun);
+  EscrowLedger Borrower(DaemonId("b#1"), Times);
+  Borrower.acceptLoan(Offer, Now);
+  CHECK(Borrower.available(Now) == 1);
+  EscrowTimes Longer = Times;
+  Longer.MaxRun = seconds(60);
+  Borrower.setTimes(Longer, Now);
+  CHECK_FALSE(Borrower.tryStart(Now).has_value());
+  // Nor does a borrower with longer runs take such an offer.
+  World All;
+  All.Nodes[0]->Agent->setLimits({{Team, 3, 1}}, 1, Longer);
+  for (int Try = 0; Try < 30; ++Try) {
+    All.start(1, seconds(9));
+    All.start(0, seconds(9));
+    All.settleAll();
+    All.Clock.advance(milliseconds(100));
+  }
+  CHECK(All.Nodes[0]->Figures.counter("loans_asked_total") > 0);
+  CHECK(All.Nodes[0]->Figures.counter("loans_received_total") == 0);
+}
+
 TEST_CASE("a lowered ceiling gives holders targets, and frees units only by "
           "their own hand") {
   GrantRow Row{8, 1, {{DaemonId("a"), 5, 5}, {DaemonId("b"), 3, 3}}};
--- a/packages/membership/src/peermessages.cpp
+++ b/packages/membership/src/peermessages.cpp
@@ -142,7 +142,8 @@
                 M.Offer.Id.Number,
                 M.Offer.Units,
                 M.Offer.Window.count(),
-                M.Offer.LimitVersion};
+                M.Offer.LimitVersion,
+                M.Offer.MaxRun.count()};
   }
   json operator()(const LoanReturn &M) const {
     return json{M.Resource.str(), M.Number};
@@ -187,7 +188,8 @@
                        ResourceId(F.at(1).get<std::string>()),
                        LoanOffer{Id, F.at(4).get<unsigned>(),
                                  Duration(F.at(5).get<Duration::rep>()),
-                                 F.at(6).get<std::uint64_t>()}};
+                                 F.at(6).get<std::uint64_t>(),
+                                 Duration(F.at(7).get<Duration::rep>())}};
     },
     [](const json &F) -> PeerMessage {
       return LoanReturn{ResourceId(F.at(0).get<std::string>()),
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -240,7 +240,7 @@
       LoanAsk{{1, ResourceId("team/a"), 2, true}},
       LoanReply{1,
                 ResourceId("team/a"),
-                {{daemonAt(1), 7}, 2, milliseconds(2000), 5}},
+                {{daemonAt(1), 7}, 2, milliseconds(2000), 5, seconds(30)}},
       LoanReturn{ResourceId("vm/b"), 3},
       FleetAsk{1},
       FleetReply{2, nlohmann::json{{"pools", 1}}}};
