--- a/cmake/SardinerillPackage.cmake
+++ b/cmake/SardinerillPackage.cmake
@@ -1,5 +1,7 @@
 find_package(Threads REQUIRED)
-find_package(rapidcheck REQUIRED)
+if(SARDINERILL_TESTS)
+  find_package(rapidcheck REQUIRED)
+endif()
 find_package(nlohmann_json REQUIRED)
 find_package(yaml-cpp REQUIRED)
 find_package(OpenSSL REQUIRED)
@@ -19,7 +21,7 @@
   target_link_libraries(sardinerill_${NAME} PUBLIC ${ARG_DEPENDS} ${ARG_LINK}
                         nlohmann_json::nlohmann_json Threads::Threads)
   file(GLOB tests CONFIGURE_DEPENDS tests/*_test.cpp)
-  if(tests)
+  if(tests AND SARDINERILL_TESTS)
     add_executable(${NAME}_tests ${tests}
                    ${PROJECT_SOURCE_DIR}/cmake/testmain.cpp)
     target_include_directories(${NAME}_tests PRIVATE src tests)
--- a/packages/base/include/sardinerill/base/clock.h
+++ b/packages/base/include/sardinerill/base/clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 /// \file
 /// Time as the decisions see it: always passed in, never read.
@@ -39,6 +40,19 @@
   }
 };
 
+/// Reads a clock that also counts the time for which a VM was suspended; leases
+/// and proofs of freshness go by it.
+class BootClock : public IClock {
+public:
+  Instant now() const override {
+    timespec Read{};
+    ::clock_gettime(CLOCK_BOOTTIME, &Read);
+    return Instant(seconds(Read.tv_sec) +
+                   std::chrono::duration_cast<Duration>(
+                       std::chrono::nanoseconds(Read.tv_nsec)));
+  }
+};
+
 /// A clock that tests move by hand.
 class ManualClock : public IClock {
 public:
--- a/packages/base/include/sardinerill/base/logging.h
+++ b/packages/base/include/sardinerill/base/logging.h
@@ -25,7 +25,12 @@
 void setLogLevel(LogLevel Level);
 LogLevel currentLogLevel();
 
-/// Writes one event to standard error.
+/// Writes all later events straight to standard output, at most
+/// \p LinesPerSecond; a reader that is slow costs lines, never time. What was
+/// dropped is counted in a later line. Errors are never held to the rate.
+void useBoundedOutput(int LinesPerSecond);
+
+/// Writes one event.
 /// \param Event short name of the event, such as "request.refused".
 void logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields = {});
--- a/packages/base/src/logging.cpp
+++ b/packages/base/src/logging.cpp
@@ -2,8 +2,13 @@
 
 #include <array>
 #include <atomic>
+#include <climits>
+#include <cstdio>
+#include <ctime>
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -53,8 +58,61 @@
                    nlohmann::ordered_json::error_handler_t::replace);
 }
 
+/// Standard output with a rate; used by the one thread of a site's daemon.
+class BoundedOutput {
+public:
+  void limit(int LinesPerSecond) { this->Rate = LinesPerSecond; }
+  bool inUse() const { return this->Rate > 0; }
+
+  void write(LogLevel Level, std::string Line) {
+    timespec Now{};
+    ::clock_gettime(CLOCK_REALTIME, &Now);
+    if (Now.tv_sec != this->Second) {
+      this->Second = Now.tv_sec;
+      this->Written = 0;
+    }
+    if (Level != LogLevel::Error && this->Written >= this->Rate) {
+      ++this->Dropped;
+      return;
+    }
+    std::array<char, 40> Stamp{};
+    tm Broken{};
+    ::gmtime_r(&Now.tv_sec, &Broken);
+    const std::size_t Length =
+        std::strftime(Stamp.data(), Stamp.size(), "%FT%T", &Broken);
+    std::snprintf(Stamp.data() + Length, Stamp.size() - Length, ".%03ldZ ",
+                  Now.tv_nsec / 1000000);
+    Line.insert(0, Stamp.data());
+    if (this->Dropped > 0)
+      Line += " dropped_before=" + std::to_string(this->Dropped);
+    Line += '\n';
+    pollfd Ready{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    const bool Writable = Line.size() <= PIPE_BUF &&
+                          ::poll(&Ready, 1, 0) == 1 &&
+                          ::write(STDOUT_FILENO, Line.data(), Line.size()) ==
+                              ssize_t(Line.size());
+    this->Dropped = Writable ? 0 : this->Dropped + 1;
+    ++this->Written;
+  }
+
+private:
+  int Rate = 0;
+  time_t Second = 0;
+  int Written = 0;
+  std::uint64_t Dropped = 0;
+};
+
+BoundedOutput &boundedOutput() {
+  static BoundedOutput Output;
+  return Output;
+}
+
 } // namespace
 
+void useBoundedOutput(int LinesPerSecond) {
+  boundedOutput().limit(LinesPerSecond);
+}
+
 void configureLogging(LogLevel Level, LogFormat NewFormat) {
   el::Configurations Settings;
   Settings.setToDefault();
@@ -78,7 +136,10 @@
   const bool AsJson = Format == LogFormat::Json;
   std::string Line = AsJson ? formatJson(Level, Event, Fields)
                             : formatKeyValue(Level, Event, Fields);
-  LOG(INFO) << Line;
+  if (boundedOutput().inUse())
+    boundedOutput().write(Level, std::move(Line));
+  else
+    LOG(INFO) << Line;
 }
 
 } // namespace sardinerill
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,3 +1,4 @@
+#include "sardinerill/adapter/platformmain.h"
 #include "sardinerill/daemon/daemonapp.h"
 
 #include <iostream>
@@ -36,7 +37,12 @@
     TCLAP::SwitchArg Check("", "check", "check the settings and exit", Line);
     TCLAP::SwitchArg Help("", "help-settings", "list every setting and exit",
                           Line);
+    TCLAP::SwitchArg OnPlatform(
+        "", "platform", "take the settings from the platform's node file",
+        Line);
     Line.parse(Count, Arguments);
+    if (OnPlatform.getValue())
+      return site::adapter::runOnPlatform(Check.getValue());
     if (Help.getValue()) {
       std::cout << describeSettings();
       return 0;
--- /dev/null
+++ b/packages/ownership/src/ownership.cpp
@@ -0,0 +1,84 @@
+#include "sardinerill/ownership/ownership.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace sardinerill::site {
+
+using nlohmann::json;
+
+std::string encodeOwnership(const OwnershipRow &Row) {
+  return json{{"holder", Row.Holder},
+              {"incarnation", Row.Incarnation},
+              {"address", Row.PeerAddress},
+              {"term", Row.Term},
+              {"released", Row.Released}}
+      .dump();
+}
+
+Result<OwnershipRow> decodeOwnership(const std::string &Text) {
+  try {
+    const json Read = json::parse(Text);
+    return OwnershipRow{.Holder = Read.at("holder"),
+                        .Incarnation = Read.at("incarnation"),
+                        .PeerAddress = Read.at("address"),
+                        .Term = Read.at("term"),
+                        .Released = Read.at("released")};
+  } catch (const json::exception &Fault) {
+    return makeError(ErrorKind::BadRequest, Fault.what());
+  }
+}
+
+void OwnershipWatch::observe(std::int64_t Seen, const OwnershipRow &SeenRow,
+                             Instant AskedAt, Instant AnsweredAt) {
+  if (this->Known && Seen < this->Version)
+    return; // An older answer that was overtaken.
+  const bool Changed = !this->Known || Seen != this->Version;
+  const bool Gap = AskedAt - this->LastAskedAt > this->Times.ReadGap;
+  if (Changed || Gap)
+    this->UnchangedSince = AnsweredAt;
+  if (Changed && this->Row.Incarnation != SeenRow.Incarnation)
+    this->Gone = false;
+  this->Known = true;
+  this->Version = Seen;
+  this->Row = SeenRow;
+  this->LastAskedAt = AskedAt;
+  this->LastAnsweredAt = AnsweredAt;
+}
+
+void OwnershipWatch::observeAbsent() {
+  if (this->Known && this->Version > 0)
+    return; // The row is never deleted: an older answer.
+  this->Known = true;
+}
+
+void OwnershipWatch::holderIsGone(const std::string &Incarnation) {
+  if (this->Row.Incarnation == Incarnation)
+    this->Gone = true;
+}
+
+bool OwnershipWatch::mayClaim() const {
+  if (!this->Known)
+    return false;
+  if (this->Version == 0 || this->Gone || this->Row.Released)
+    return true;
+  // Counted to when the question was sent: the answer may have been on its way
+  // for long.
+  return this->LastAskedAt - this->UnchangedSince >= this->Times.Silence;
+}
+
+Predecessor OwnershipWatch::predecessor() const {
+  const bool Over = this->Version == 0 || this->Gone || this->Row.Released;
+  return Over ? Predecessor::None : Predecessor::MayOrder;
+}
+
+void HeldOwnership::renewed(Instant SentAt) {
+  this->RenewedAt = std::max(this->RenewedAt, SentAt);
+}
+
+bool HeldOwnership::mayOrder(Instant Now) const {
+  return !this->Lost &&
+         Now < this->RenewedAt + this->Times.Lease - this->Times.Margin;
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "sardinerill/scheduling/jobprogress.h"
+#include "sardinerill/scheduling/orders.h"
+
+#include <memory>
+#include <optional>
+
+/// \file
+/// Decides where and when each task of a site runs.
+
+namespace sardinerill::site {
+
+struct UpstreamRecord;
+struct JobRecord;
+
+struct SchedulerOptions {
+  SiteBounds Bounds;
+  /// Counts the holders so far; keeps run numbers of two holders apart.
+  int Term = 0;
+  /// Until then, runs of an earlier holder may go on unseen on upstreams that
+  /// have not answered.
+  Instant InheritedUntil{};
+};
+
+/// Progress of one job that has to be stored before it counts.
+struct ProgressChange {
+  JobId Job;
+  std::int64_t Revision = 0;
+  std::string Text;
+};
+
+/// Jobs of one queue that are accepted and have not started.
+struct QueueCounts {
+  int Pending = 0;
+};
+
+/// One pool as the planner of VMs sees it.
+struct PoolDemand {
+  /// Processors that running and startable tasks ask for.
+  std::int64_t CpuMilli = 0;
+  /// The part of it that has to wait.
+  std::int64_t WaitingCpuMilli = 0;
+};
+
+/// The scheduler of all pools that one holder orders. Has no clock and does no
+/// I/O: every event carries its time, and orders are taken with takeOrders().
+class Scheduler {
+public:
+  explicit Scheduler(SchedulerOptions Options);
+  ~Scheduler();
+  Scheduler(const Scheduler &) = delete;
+  Scheduler &operator=(const Scheduler &) = delete;
+
+  void configure(const SiteConfiguration &Configuration);
+
+  /// Takes in an accepted job.
+  /// \param Progress what an earlier holder stored about it, if anything.
+  /// \param Inherited whether an earlier holder may have started it.
+  void addJob(JobSpec Spec, const std::optional<JobProgress> &Progress,
+              bool Inherited, Instant AcceptedAt, Instant Now);
+  void cancelJob(const JobId &Job, Instant Now);
+  bool knows(const JobId &Job) const;
+  /// \returns the state that may be shown; none for an unknown job.
+  std::optional<JobState> stateOf(const JobId &Job) const;
+  int pendingJobs(const QueueId &Queue) const;
+
+  /// Takes in what the registry says of an upstream.
+  void reportUpstream(const UpstreamReport &Report, Instant Now);
+  /// The registry has no entry for \p Id any more.
+  void unlistUpstream(const UpstreamId &Id, Instant Now);
+  /// Nothing of this life runs any more.
+  void loseUpstream(const UpstreamId &Id, std::string_view Reason, Instant Now);
+  /// Takes in what an upstream lists.
+  /// \param SentAt when the question was sent.
+  void listRuns(const UpstreamId &Id, const RunListing &Listing, Instant SentAt,
+                Instant Now);
+  /// \returns the last end that may be forgotten by the upstream.
+  std::int64_t acknowledged(const UpstreamId &Id) const;
+
+  void startAnswered(const UpstreamId &Id, const RunId &Run,
+                     StartOutcome Outcome, Instant Now);
+  void stopAnswered(const UpstreamId &Id, const RunId &Run, StopOutcome Outcome,
+                    Instant Now);
+  void adviceAnswered(const AdviceOrder &Asked,
+                      const std::map<UpstreamId, std::string> &Tickets,
+                      Duration Validity, Instant Now);
+
+  /// No new task is placed on a cordoned VM.
+  void cordon(const UpstreamId &Id, bool Cordoned);
+
+  /// Places what waits and looks after what runs.
+  void decide(Instant Now, std::int64_t UnixMs);
+  /// \returns the orders given since the last call.
+  std::vector<Order> takeOrders();
+  /// \returns changes of progress that are due to be stored.
+  std::vector<ProgressChange> takeProgress();
+  /// The changes up to \p Revision of \p Job are stored.
+  void progressStored(const JobId &Job, std::int64_t Revision);
+  /// \returns jobs that ended more than the retention time ago; forgets them.
+  std::vector<JobId> takeExpired(Instant Now);
+
+  const std::map<UpstreamId, std::unique_ptr<UpstreamRecord>> &
+  upstreams() const;
+  const std::map<JobId, std::unique_ptr<JobRecord>> &jobs() const;
+  std::map<PoolId, PoolDemand> demand(std::int64_t UnixMs) const;
+  /// Stops the tasks that last on \p Id whose budgets allow it, to be started
+  /// elsewhere. \returns how many such tasks are left there.
+  int evacuate(const UpstreamId &Id, Instant Now);
+  /// \returns whether ending all that runs on \p Id breaks no budget.
+  bool mayInterrupt(const UpstreamId &Id, Instant Now) const;
+
+private:
+  struct State;
+  std::unique_ptr<State> Inner;
+};
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/scheduling/src/jobgraph.cpp
@@ -0,0 +1,125 @@
+#include "jobgraph.h"
+
+#include <algorithm>
+
+namespace sardinerill::site {
+
+namespace {
+
+void applyProgress(const std::map<int, std::map<int, TaskProgress>> &Steps,
+                   OccurrenceRecord &Record) {
+  for (const auto &[Step, Tasks] : Steps) {
+    if (Step < 0 || Step >= int(Record.Steps.size()))
+      continue;
+    StepRecord &Into = Record.Steps[Step];
+    for (const auto &[Index, Task] : Tasks) {
+      if (Index < 0 || Index >= int(Into.Tasks.size()))
+        continue;
+      TaskRecord &Kept = Into.Tasks[Index];
+      Kept.Failures = Task.Failures;
+      Kept.LastNumber = Task.LastNumber;
+      if (Task.Done && !Kept.Done) {
+        Kept.Done = true;
+        ++Into.DoneCount;
+        --Record.OpenTasks;
+      }
+    }
+  }
+}
+
+Duration scaled(Duration Estimate, double Factor) {
+  return Duration(std::int64_t(double(Estimate.count()) * Factor));
+}
+
+template <typename Counts>
+Duration chainOf(const JobSpec &Spec, double Factor, Counts IsOpen) {
+  std::vector<Duration> EndOf(Spec.Steps.size());
+  Duration Longest{};
+  for (std::size_t Index = 0; Index < Spec.Steps.size(); ++Index) {
+    Duration Begin{};
+    for (int Before : Spec.Steps[Index].After)
+      if (Before >= 0 && Before < int(Index))
+        Begin = std::max(Begin, EndOf[Before]);
+    EndOf[Index] = Begin;
+    if (IsOpen(int(Index)))
+      EndOf[Index] += scaled(Spec.Steps[Index].Estimate, Factor);
+    Longest = std::max(Longest, EndOf[Index]);
+  }
+  return Longest;
+}
+
+} // namespace
+
+OccurrenceRecord layOut(const JobSpec &Spec, int Occurrence,
+                        const JobProgress *Progress) {
+  OccurrenceRecord Record;
+  if (Spec.Schedule.Count > 0)
+    Record.DueMs =
+        Spec.Schedule.FirstDueMs + Occurrence * Spec.Schedule.IntervalMs;
+  for (const StepSpec &Step : Spec.Steps) {
+    StepRecord Open;
+    Open.Tasks.resize(std::size_t(std::max(Step.Count, 0)));
+    Record.OpenTasks += int(Open.Tasks.size());
+    Record.Steps.push_back(std::move(Open));
+  }
+  if (Progress)
+    if (const auto Found = Progress->Tasks.find(Occurrence);
+        Found != Progress->Tasks.end())
+      applyProgress(Found->second, Record);
+  return Record;
+}
+
+bool isReady(const JobSpec &Spec, const OccurrenceRecord &Occurrence,
+             int Step) {
+  return std::ranges::all_of(Spec.Steps[Step].After, [&](int Before) {
+    if (Before < 0 || Before >= int(Occurrence.Steps.size()))
+      return true;
+    const StepRecord &Earlier = Occurrence.Steps[Before];
+    return Earlier.DoneCount == int(Earlier.Tasks.size());
+  });
+}
+
+Duration longestChain(const JobSpec &Spec, double EstimateFactor) {
+  return chainOf(Spec, EstimateFactor, [](int) { return true; });
+}
+
+Duration remainingChain(const JobSpec &Spec, const OccurrenceRecord &Occurrence,
+                        double EstimateFactor) {
+  return chainOf(Spec, EstimateFactor, [&](int Step) {
+    const StepRecord &Record = Occurrence.Steps[Step];
+    return Record.DoneCount < int(Record.Tasks.size());
+  });
+}
+
+double remainingCpuSeconds(const JobSpec &Spec,
+                           const OccurrenceRecord &Occurrence,
+                           double EstimateFactor) {
+  constexpr double MicrosAndMillis = 1e9;
+  double Sum = 0;
+  for (std::size_t Index = 0; Index < Spec.Steps.size(); ++Index) {
+    const StepRecord &Record = Occurrence.Steps[Index];
+    const double Open = double(Record.Tasks.size()) - Record.DoneCount;
+    Sum += Open * double(Spec.Steps[Index].Need.CpuMilli) *
+           double(Spec.Steps[Index].Estimate.count()) * EstimateFactor;
+  }
+  return Sum / MicrosAndMillis;
+}
+
+JobProgress progressOf(const JobRecord &Job) {
+  JobProgress Progress{.State = Job.State};
+  // The tasks of an ended job do not run again: its state is enough.
+  if (Job.ended())
+    return Progress;
+  for (const auto &[Number, Occurrence] : Job.Occurrences)
+    for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step)
+      for (std::size_t Index = 0; Index < Occurrence.Steps[Step].Tasks.size();
+           ++Index) {
+        const TaskRecord &Task = Occurrence.Steps[Step].Tasks[Index];
+        if (Task.Done || Task.Failures > 0)
+          Progress.Tasks[Number][int(Step)][int(Index)] = {
+              Task.Done, Task.Failures, Task.LastNumber};
+      }
+  return Progress;
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/scheduling/src/jobprogress.cpp
@@ -0,0 +1,143 @@
+#include "sardinerill/scheduling/jobprogress.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace sardinerill::site {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::string_view, 5> StateNames{
+    "queued", "running", "completed", "failed", "cancelled"};
+
+json encodeResources(const Resources &Need) {
+  return {Need.CpuMilli, Need.MemoryMb, Need.Accelerators};
+}
+
+json encodeStep(const StepSpec &Step) {
+  return {{"n", Step.Count},
+          {"need", encodeResources(Step.Need)},
+          {"est", Step.Estimate.count()},
+          {"after", Step.After},
+          {"flags",
+           {Step.Checkpoints, Step.Gang, Step.SameRack, Step.Speculative,
+            Step.LongRunning, Step.Fills}},
+          {"label", Step.RequiredLabel},
+          {"rack", Step.DataRack},
+          {"max", Step.MaxPerUpstream},
+          {"image", Step.Image},
+          {"tail", Step.TailTarget.count()},
+          {"budget", Step.MaxUnavailable}};
+}
+
+json encodeQueue(const QueueSettings &Queue) {
+  return {{"id", Queue.Id.str()},       {"pool", Queue.Pool.str()},
+          {"priority", Queue.Priority}, {"attempts", Queue.MaxAttempts},
+          {"stretch", Queue.Stretch},   {"target", Queue.LatencyTarget.count()},
+          {"advice", Queue.NeedsAdvice}};
+}
+
+QueueSettings decodeQueue(const json &Text) {
+  return {.Id = QueueId(Text.at("id")),
+          .Pool = PoolId(Text.at("pool")),
+          .Priority = Text.at("priority"),
+          .MaxAttempts = Text.at("attempts"),
+          .Stretch = Text.at("stretch"),
+          .LatencyTarget = Duration(Text.at("target").get<std::int64_t>()),
+          .NeedsAdvice = Text.at("advice")};
+}
+
+StepSpec decodeStep(const json &Text) {
+  const json &Need = Text.at("need");
+  const json &Flags = Text.at("flags");
+  return {.Count = Text.at("n"),
+          .Need = {Need.at(0), Need.at(1), Need.at(2)},
+          .Estimate = Duration(Text.at("est").get<std::int64_t>()),
+          .After = Text.at("after").get<std::vector<int>>(),
+          .Checkpoints = Flags.at(0),
+          .Gang = Flags.at(1),
+          .SameRack = Flags.at(2),
+          .Speculative = Flags.at(3),
+          .LongRunning = Flags.at(4),
+          .Fills = Flags.at(5),
+          .RequiredLabel = Text.at("label"),
+          .DataRack = Text.at("rack"),
+          .MaxPerUpstream = Text.at("max"),
+          .Image = Text.at("image"),
+          .TailTarget = Duration(Text.at("tail").get<std::int64_t>()),
+          .MaxUnavailable = Text.at("budget")};
+}
+
+} // namespace
+
+std::string_view toString(JobState State) {
+  return StateNames[static_cast<std::size_t>(State)];
+}
+
+std::string encodeProgress(const JobProgress &Progress) {
+  json Rows = json::array();
+  for (const auto &[Occurrence, Steps] : Progress.Tasks)
+    for (const auto &[Step, Tasks] : Steps)
+      for (const auto &[Index, Task] : Tasks)
+        Rows.push_back({Occurrence, Step, Index, Task.Done ? 1 : 0,
+                        Task.Failures, Task.LastNumber});
+  return json{{"state", static_cast<int>(Progress.State)}, {"tasks", Rows}}
+      .dump();
+}
+
+Result<JobProgress> decodeProgress(const std::string &Text) {
+  try {
+    const json Read = json::parse(Text);
+    JobProgress Progress;
+    const int State = Read.at("state");
+    if (State < 0 || State >= static_cast<int>(StateNames.size()))
+      return makeError(ErrorKind::BadRequest, "unknown state of a job");
+    Progress.State = static_cast<JobState>(State);
+    for (const json &Row : Read.at("tasks"))
+      Progress.Tasks[Row.at(0)][Row.at(1)][Row.at(2)] = {.Done = Row.at(3) == 1,
+                                                         .Failures = Row.at(4),
+                                                         .LastNumber =
+                                                             Row.at(5)};
+    return Progress;
+  } catch (const json::exception &Fault) {
+    return makeError(ErrorKind::BadRequest, Fault.what());
+  }
+}
+
+std::string encodeJob(const JobSpec &Spec) {
+  json Steps = json::array();
+  for (const StepSpec &Step : Spec.Steps)
+    Steps.push_back(encodeStep(Step));
+  return json{{"id", Spec.Id.str()},
+              {"queue", encodeQueue(Spec.Queue)},
+              {"org", Spec.Organisation.str()},
+              {"payload", Spec.Payload},
+              {"steps", Steps},
+              {"due",
+               {Spec.Schedule.Count, Spec.Schedule.FirstDueMs,
+                Spec.Schedule.IntervalMs}},
+              {"at", Spec.AcceptedAtMs}}
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<JobSpec> decodeJob(const std::string &Text) {
+  try {
+    const json Read = json::parse(Text);
+    const json &Due = Read.at("due");
+    JobSpec Spec{.Id = JobId(Read.at("id")),
+                 .Queue = decodeQueue(Read.at("queue")),
+                 .Organisation = OrganisationId(Read.at("org")),
+                 .Payload = Read.at("payload"),
+                 .Schedule = {Due.at(0), Due.at(1), Due.at(2)},
+                 .AcceptedAtMs = Read.at("at")};
+    for (const json &Step : Read.at("steps"))
+      Spec.Steps.push_back(decodeStep(Step));
+    return Spec;
+  } catch (const json::exception &Fault) {
+    return makeError(ErrorKind::BadRequest, Fault.what());
+  }
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/scheduling/src/placement.cpp
@@ -0,0 +1,86 @@
+#include "placement.h"
+
+#include <algorithm>
+
+namespace sardinerill::site {
+
+namespace {
+
+/// Weights that keep the reasons apart: a worse reason never outweighs a
+/// better.
+constexpr double WeightOfTrust = 1000;
+constexpr double WeightOfRack = 100;
+constexpr double WeightOfServing = 50;
+constexpr double WeightOfPacking = 10;
+
+bool hasLabel(const UpstreamReport &Report, const std::string &Label) {
+  return std::ranges::find(Report.Labels, Label) != Report.Labels.end();
+}
+
+bool holdsTicket(const StepRecord &Record, const UpstreamId &Id, Instant Now) {
+  const auto Found = Record.Tickets.find(Id);
+  return Found != Record.Tickets.end() && Found->second.second > Now;
+}
+
+} // namespace
+
+std::string_view UpstreamRecord::rack() const {
+  // The labels of a report are its kind, then its rack.
+  return this->Report.Labels.size() > 1
+             ? std::string_view(this->Report.Labels[1])
+             : std::string_view();
+}
+
+Resources chargedTo(const StepSpec &Step) {
+  Resources Charged = Step.Need;
+  if (Step.Fills)
+    Charged.CpuMilli = 0;
+  return Charged;
+}
+
+bool mayRun(const UpstreamRecord &Candidate,
+            const PlacementQuestion &Question) {
+  const StepSpec &Step = *Question.Step;
+  if (Candidate.Report.Pool != Question.Pool || !Candidate.Answered ||
+      !Candidate.Listed || Candidate.Report.Draining || Candidate.Cordoned)
+    return false;
+  if (!chargedTo(Step).fitsIn(Candidate.free()))
+    return false;
+  if (!Step.RequiredLabel.empty() &&
+      !hasLabel(Candidate.Report, Step.RequiredLabel))
+    return false;
+  if (Step.MaxPerUpstream > 0) {
+    const auto Found = Question.Record->PerUpstream.find(Candidate.Report.Id);
+    if (Found != Question.Record->PerUpstream.end() &&
+        Found->second >= Step.MaxPerUpstream)
+      return false;
+  }
+  if (Question.NeedsTicket &&
+      !holdsTicket(*Question.Record, Candidate.Report.Id, Question.Now))
+    return false;
+  // A copy beside its original would share its fate.
+  return std::ranges::none_of(Question.Task->Runs, [&](const RunPtr &Other) {
+    return Other->Where == Candidate.Report.Id;
+  });
+}
+
+double suitability(const UpstreamRecord &Candidate,
+                   const PlacementQuestion &Question) {
+  double Score = 0;
+  if (Candidate.AvoidUntil > Question.Now)
+    Score -= WeightOfTrust * (1 + Candidate.FailuresInRow);
+  const std::string_view Rack = Question.PreferredRack.empty()
+                                    ? std::string_view(Question.Step->DataRack)
+                                    : Question.PreferredRack;
+  if (!Rack.empty() && Candidate.rack() == Rack)
+    Score += WeightOfRack;
+  const double Whole =
+      std::max<double>(1, double(Candidate.Report.Capacity.CpuMilli));
+  const double Used = double(Candidate.Used.CpuMilli) / Whole;
+  const bool Shares = Question.Step->Fills || Question.Step->TailTarget.count();
+  if (Question.Step->Fills) // Away from what serves and from full processors.
+    return Score - WeightOfServing * Used;
+  return Score + WeightOfPacking * (Shares ? -Used : Used);
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/scheduling/src/scheduler.cpp
@@ -0,0 +1,281 @@
+#include "jobgraph.h"
+#include "schedulerstate.h"
+
+#include "sardinerill/base/logging.h"
+
+#include <algorithm>
+
+namespace sardinerill::site {
+
+std::string describe(const TaskId &Id) {
+  return Id.Job.str() + "." + std::to_string(Id.Occurrence) + "." +
+         std::to_string(Id.Step) + "." + std::to_string(Id.Index);
+}
+
+std::string describe(const RunId &Id) {
+  return describe(Id.Task) + "/" + std::to_string(Id.Number);
+}
+
+JobRecord *Scheduler::State::job(const JobId &Id) {
+  const auto Found = this->Jobs.find(Id);
+  return Found == this->Jobs.end() ? nullptr : Found->second.get();
+}
+
+TaskRecord *Scheduler::State::task(const TaskId &Id) {
+  JobRecord *Job = this->job(Id.Job);
+  if (!Job)
+    return nullptr;
+  const auto Found = Job->Occurrences.find(Id.Occurrence);
+  if (Found == Job->Occurrences.end() || Id.Step < 0 ||
+      Id.Step >= int(Found->second.Steps.size()))
+    return nullptr;
+  StepRecord &Step = Found->second.Steps[std::size_t(Id.Step)];
+  if (Id.Index < 0 || Id.Index >= int(Step.Tasks.size()))
+    return nullptr;
+  return &Step.Tasks[std::size_t(Id.Index)];
+}
+
+const StepSpec *Scheduler::State::spec(const TaskId &Id) {
+  JobRecord *Job = this->job(Id.Job);
+  if (!Job || Id.Step < 0 || Id.Step >= int(Job->Spec.Steps.size()))
+    return nullptr;
+  return &Job->Spec.Steps[std::size_t(Id.Step)];
+}
+
+const QueueSettings &Scheduler::State::settingsOf(const JobRecord &Job) const {
+  const QueueSettings *InForce = this->Configuration.queue(Job.Spec.Queue.Id);
+  return InForce ? *InForce : Job.Spec.Queue;
+}
+
+void Scheduler::State::changed(JobRecord &Job) {
+  ++Job.Revision;
+  this->ChangedJobs.insert(Job.Spec.Id);
+}
+
+void Scheduler::State::endJob(JobRecord &Job, JobState State,
+                              std::string_view Reason, Instant Now) {
+  if (Job.ended())
+    return;
+  Job.State = State;
+  Job.EndedAt = Now;
+  this->LiveJobs.erase(Job.Spec.Id);
+  for (auto &[Number, Occurrence] : Job.Occurrences)
+    for (StepRecord &Step : Occurrence.Steps)
+      for (TaskRecord &Task : Step.Tasks)
+        for (const RunPtr &Running : Task.Runs)
+          this->wantStop(Running);
+  this->changed(Job);
+  const auto Age =
+      std::chrono::duration_cast<milliseconds>(Now - Job.AcceptedAt);
+  logEvent(LogLevel::Info, "job.ended",
+           {{"job", Job.Spec.Id.str()},
+            {"queue", Job.Spec.Queue.Id.str()},
+            {"state", std::string(toString(State))},
+            {"reason", std::string(Reason)},
+            {"age_ms", std::to_string(Age.count())}});
+}
+
+void Scheduler::State::layOutDue(JobRecord &Job, std::int64_t UnixMs) {
+  const Recurrence &Due = Job.Spec.Schedule;
+  while (Job.NextOccurrence < Due.Count &&
+         Due.FirstDueMs + Job.NextOccurrence * Due.IntervalMs <= UnixMs) {
+    const int Number = Job.NextOccurrence++;
+    if (!Job.Occurrences.contains(Number))
+      Job.Occurrences[Number] = layOut(Job.Spec, Number, nullptr);
+  }
+}
+
+void Scheduler::State::rebuildPools() {
+  this->ByPool.clear();
+  for (auto &[Id, Upstream] : this->Upstreams)
+    this->ByPool[Upstream->Report.Pool].push_back(Upstream.get());
+}
+
+Scheduler::Scheduler(SchedulerOptions Options)
+    : Inner(std::make_unique<State>(Options)) {}
+
+Scheduler::~Scheduler() = default;
+
+void Scheduler::configure(const SiteConfiguration &Configuration) {
+  this->Inner->Configuration = Configuration;
+}
+
+void Scheduler::addJob(JobSpec Spec, const std::optional<JobProgress> &Progress,
+                       bool Inherited, Instant AcceptedAt, Instant Now) {
+  if (this->Inner->Jobs.contains(Spec.Id))
+    return;
+  auto Job = std::make_unique<JobRecord>();
+  Job->Spec = std::move(Spec);
+  Job->Inherited = Inherited;
+  Job->AcceptedAt = AcceptedAt;
+  if (Progress)
+    Job->State = Progress->State;
+  if (Job->ended()) {
+    Job->EndedAt = Now;
+  } else {
+    if (Job->Spec.Schedule.Count <= 0)
+      Job->Occurrences[0] =
+          layOut(Job->Spec, 0, Progress ? &*Progress : nullptr);
+    else if (Progress)
+      for (const auto &[Number, Tasks] : Progress->Tasks)
+        Job->Occurrences[Number] = layOut(Job->Spec, Number, &*Progress);
+    Job->Started = Progress.has_value();
+    this->Inner->LiveJobs.insert(Job->Spec.Id);
+  }
+  this->Inner->Jobs[Job->Spec.Id] = std::move(Job);
+}
+
+void Scheduler::cancelJob(const JobId &Id, Instant Now) {
+  if (JobRecord *Job = this->Inner->job(Id))
+    this->Inner->endJob(*Job, JobState::Cancelled, "cancelled by its caller",
+                        Now);
+}
+
+bool Scheduler::knows(const JobId &Job) const {
+  return this->Inner->Jobs.contains(Job);
+}
+
+std::optional<JobState> Scheduler::stateOf(const JobId &Id) const {
+  const JobRecord *Job = this->Inner->job(Id);
+  if (!Job)
+    return std::nullopt;
+  if (!Job->ended())
+    return Job->Started ? JobState::Running : JobState::Queued;
+  // An end counts once no successor can come to another view of it.
+  return Job->stored() ? Job->State : JobState::Running;
+}
+
+int Scheduler::pendingJobs(const QueueId &Queue) const {
+  return int(std::ranges::count_if(this->Inner->LiveJobs, [&](const JobId &Id) {
+    const JobRecord &Job = *this->Inner->Jobs.at(Id);
+    return Job.Spec.Queue.Id == Queue && !Job.Started;
+  }));
+}
+
+void Scheduler::reportUpstream(const UpstreamReport &Report, Instant Now) {
+  auto &Kept = this->Inner->Upstreams[Report.Id];
+  if (Kept && Kept->Report.BornMs && Report.BornMs &&
+      Kept->Report.BornMs != Report.BornMs) {
+    if (Report.BornMs < Kept->Report.BornMs)
+      return; // Written by an earlier life.
+    this->loseUpstream(Report.Id, "started again under its id", Now);
+  }
+  auto &Record = this->Inner->Upstreams[Report.Id];
+  const bool IsNew = !Record;
+  if (IsNew)
+    Record = std::make_unique<UpstreamRecord>();
+  const bool Moved = IsNew || Record->Report.Pool != Report.Pool;
+  if (!IsNew && Record->Report.Draining != Report.Draining)
+    logEvent(LogLevel::Info, "upstream.draining",
+             {{"upstream", Report.Id.str()}, {"pool", Report.Pool.str()}});
+  // A drain is never taken back within one life.
+  const bool Draining = !IsNew && Record->Report.Draining;
+  Record->Report = Report;
+  Record->Report.Draining |= Draining;
+  Record->Listed = true;
+  if (Moved)
+    this->Inner->rebuildPools();
+}
+
+void Scheduler::unlistUpstream(const UpstreamId &Id, Instant Now) {
+  const auto Found = this->Inner->Upstreams.find(Id);
+  if (Found == this->Inner->Upstreams.end() || !Found->second->Listed)
+    return;
+  Found->second->Listed = false;
+  Found->second->UnlistedAt = Now;
+}
+
+void Scheduler::loseUpstream(const UpstreamId &Id, std::string_view Reason,
+                             Instant Now) {
+  const auto Found = this->Inner->Upstreams.find(Id);
+  if (Found == this->Inner->Upstreams.end())
+    return;
+  const std::map<RunId, RunPtr> Lost = Found->second->Runs;
+  logEvent(LogLevel::Warning, "upstream.lost",
+           {{"upstream", Id.str()},
+            {"pool", Found->second->Report.Pool.str()},
+            {"reason", std::string(Reason)},
+            {"runs", std::to_string(Lost.size())}});
+  for (const auto &[Run, Record] : Lost) {
+    this->Inner->removeRun(Record);
+    if (TaskRecord *Task = this->Inner->task(Run.Task))
+      Task->NotBefore = Now;
+  }
+  this->Inner->Upstreams.erase(Id);
+  this->Inner->rebuildPools();
+}
+
+std::int64_t Scheduler::acknowledged(const UpstreamId &Id) const {
+  const auto Found = this->Inner->Upstreams.find(Id);
+  if (Found == this->Inner->Upstreams.end())
+    return 0;
+  const UpstreamRecord &Upstream = *Found->second;
+  for (const auto &[Sequence, End] : Upstream.Unstored) {
+    const JobRecord *Job = this->Inner->job(End.Job);
+    if (Job && Job->StoredRevision < End.Revision)
+      return Sequence - 1;
+  }
+  return Upstream.EndsSeen;
+}
+
+void Scheduler::cordon(const UpstreamId &Id, bool Cordoned) {
+  if (const auto Found = this->Inner->Upstreams.find(Id);
+      Found != this->Inner->Upstreams.end())
+    Found->second->Cordoned = Cordoned;
+}
+
+std::vector<Order> Scheduler::takeOrders() {
+  return std::exchange(this->Inner->Orders, {});
+}
+
+std::vector<ProgressChange> Scheduler::takeProgress() {
+  std::vector<ProgressChange> Changes;
+  for (const JobId &Id : std::exchange(this->Inner->ChangedJobs, {}))
+    if (JobRecord *Job = this->Inner->job(Id)) {
+      Job->TakenRevision = Job->Revision;
+      Changes.push_back({Id, Job->Revision, encodeProgress(progressOf(*Job))});
+    }
+  return Changes;
+}
+
+void Scheduler::progressStored(const JobId &Id, std::int64_t Revision) {
+  if (JobRecord *Job = this->Inner->job(Id)) {
+    Job->StoredRevision = std::max(Job->StoredRevision, Revision);
+    if (Job->ended() && Job->stored())
+      Job->Occurrences.clear();
+  }
+}
+
+std::vector<JobId> Scheduler::takeExpired(Instant Now) {
+  std::vector<JobId> Expired;
+  for (const auto &[Id, Job] : this->Inner->Jobs)
+    if (Job->ended() && Job->stored() &&
+        Now - Job->EndedAt > 2 * this->Inner->Options.Bounds.StatusRetention)
+      Expired.push_back(Id);
+  for (const JobId &Id : Expired)
+    this->Inner->Jobs.erase(Id);
+  return Expired;
+}
+
+const std::map<UpstreamId, std::unique_ptr<UpstreamRecord>> &
+Scheduler::upstreams() const {
+  return this->Inner->Upstreams;
+}
+
+const std::map<JobId, std::unique_ptr<JobRecord>> &Scheduler::jobs() const {
+  return this->Inner->Jobs;
+}
+
+void Scheduler::decide(Instant Now, std::int64_t UnixMs) {
+  State &Inner = *this->Inner;
+  for (const JobId &Id : Inner.LiveJobs)
+    Inner.layOutDue(*Inner.Jobs.at(Id), UnixMs);
+  Inner.replaceStuckRuns(Now);
+  std::vector<WaitingStep> Waiting = Inner.waitingSteps(Now);
+  std::ranges::stable_sort(Waiting, goesBefore, &WaitingStep::Work);
+  for (const WaitingStep &Step : Waiting)
+    if (!Inner.placeTasks(Step, Now))
+      Inner.preemptFor(Step, Now);
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/scheduling/src/schedulercare.cpp
@@ -0,0 +1,149 @@
+#include "jobgraph.h"
+#include "pacing.h"
+#include "schedulerstate.h"
+
+#include "sardinerill/base/logging.h"
+
+#include <algorithm>
+
+namespace sardinerill::site {
+
+namespace {
+
+/// A run without progress for this long is started elsewhere; well above the
+/// time between two looks at an upstream (1 s).
+constexpr milliseconds StuckAfter{2500};
+/// A copy starts when a run has taken this many times its expected time.
+constexpr double CopyAfterFactor = 2.0;
+/// Least time before a copy starts.
+constexpr milliseconds CopyAfterLeast{600};
+/// Time between two changes of a pace.
+constexpr milliseconds PaceInterval{900};
+/// An upstream whose runs stand still is avoided for this time.
+constexpr seconds AvoidStuckFor{5};
+constexpr int AtWork = 100; ///< Percent of a task that lasts and serves.
+
+} // namespace
+
+bool Scheduler::State::isAtWork(const RunPtr &Candidate) const {
+  return Candidate->Phase == RunPhase::Active && !Candidate->StopWanted &&
+         Candidate->Percent >= AtWork;
+}
+
+int Scheduler::State::unavailable(const JobRecord &Job, int Occurrence,
+                                  int Step, Instant Now) const {
+  const auto Found = Job.Occurrences.find(Occurrence);
+  if (Found == Job.Occurrences.end())
+    return 0;
+  const StepRecord &Record = Found->second.Steps[std::size_t(Step)];
+  (void)Now;
+  return int(std::ranges::count_if(Record.Tasks, [&](const TaskRecord &Task) {
+    return std::ranges::none_of(
+        Task.Runs, [&](const RunPtr &Each) { return this->isAtWork(Each); });
+  }));
+}
+
+bool Scheduler::State::mayInterrupt(const RunPtr &Candidate, Instant Now,
+                                    int AlsoEnding) const {
+  const auto Found = this->Jobs.find(Candidate->Id.Task.Job);
+  if (Found == this->Jobs.end() || Found->second->ended())
+    return true;
+  const JobRecord &Job = *Found->second;
+  const StepSpec &Step = Job.Spec.Steps[std::size_t(Candidate->Id.Task.Step)];
+  if (!Step.LongRunning || Step.MaxUnavailable < 0 ||
+      !this->isAtWork(Candidate))
+    return true;
+  const int Away = this->unavailable(Job, Candidate->Id.Task.Occurrence,
+                                     Candidate->Id.Task.Step, Now);
+  return Away + AlsoEnding < Step.MaxUnavailable;
+}
+
+void Scheduler::State::replaceStuckRuns(Instant Now) {
+  for (auto &[Id, Upstream] : this->Upstreams) {
+    // Without a recent answer nothing is known of its progress.
+    if (!Upstream->Answered || Now - Upstream->AnsweredAt > StuckAfter / 2)
+      continue;
+    std::vector<RunPtr> Stuck;
+    for (const auto &[Run, Candidate] : Upstream->Runs) {
+      const StepSpec *Step = this->spec(Run.Task);
+      if (Step && !Step->LongRunning && !Step->Gang &&
+          Candidate->Phase == RunPhase::Active && !Candidate->StopWanted &&
+          Now - Candidate->ProgressAt > StuckAfter)
+        Stuck.push_back(Candidate);
+    }
+    for (const RunPtr &Still : Stuck) {
+      logEvent(LogLevel::Warning, "run.stuck",
+               {{"run", describe(Still->Id)},
+                {"upstream", Id.str()},
+                {"percent", std::to_string(Still->Percent)}});
+      Upstream->AvoidUntil = Now + AvoidStuckFor;
+      this->wantStop(Still);
+    }
+  }
+}
+
+void Scheduler::State::paceFillers(UpstreamRecord &On, Instant Now) {
+  double WorstTail = 0;
+  std::vector<RunPtr> Fillers;
+  for (const auto &[Id, Candidate] : On.Runs) {
+    const StepSpec *Step = this->spec(Id.Task);
+    if (!Step || Candidate->Phase != RunPhase::Active)
+      continue;
+    if (Step->Fills)
+      Fillers.push_back(Candidate);
+    else if (Step->TailTarget.count() > 0) {
+      const double TailUs = double(Candidate->Load) * 1000;
+      WorstTail =
+          std::max(WorstTail, TailUs / double(Step->TailTarget.count()));
+    }
+  }
+  for (const RunPtr &Filler : Fillers) {
+    const int Next = nextPace(Filler->Pace, WorstTail);
+    if (Next == Filler->Pace)
+      continue;
+    if (Next > Filler->Pace && Now - Filler->PacedAt < PaceInterval)
+      continue;
+    Filler->Pace = Next;
+    Filler->PacedAt = Now;
+    this->Orders.push_back(PaceOrder{On.Report.Id, Filler->Id, Next});
+  }
+}
+
+void Scheduler::State::preemptFor(const WaitingStep &, Instant) {}
+
+int Scheduler::evacuate(const UpstreamId &Id, Instant Now) {
+  const auto Found = this->Inner->Upstreams.find(Id);
+  if (Found == this->Inner->Upstreams.end())
+    return 0;
+  int Left = 0;
+  std::vector<RunPtr> Ending;
+  for (const auto &[RunKey, Candidate] : Found->second->Runs) {
+    const StepSpec *Step = this->Inner->spec(RunKey.Task);
+    if (!Step || !Step->LongRunning)
+      continue;
+    ++Left;
+    if (!Candidate->StopWanted && Candidate->Phase == RunPhase::Active &&
+        this->Inner->mayInterrupt(Candidate, Now, 0)) {
+      // Stopped at once, so that the next question counts it as away.
+      this->Inner->wantStop(Candidate);
+    }
+  }
+  return Left;
+}
+
+bool Scheduler::mayInterrupt(const UpstreamId &Id, Instant Now) const {
+  const auto Found = this->Inner->Upstreams.find(Id);
+  if (Found == this->Inner->Upstreams.end())
+    return true;
+  std::map<std::tuple<JobId, int, int>, int> Ending;
+  for (const auto &[RunKey, Candidate] : Found->second->Runs) {
+    int &Also =
+        Ending[{RunKey.Task.Job, RunKey.Task.Occurrence, RunKey.Task.Step}];
+    if (!this->Inner->mayInterrupt(Candidate, Now, Also))
+      return false;
+    ++Also;
+  }
+  return true;
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -0,0 +1,311 @@
+#include "jobgraph.h"
+#include "schedulerstate.h"
+
+#include "sardinerill/base/logging.h"
+
+#include <algorithm>
+
+namespace sardinerill::site {
+
+namespace {
+
+/// Runs of two holders never share a number within this many starts of a task.
+constexpr int NumbersPerTerm = 64;
+/// Upstreams that one question to the advisor may name.
+constexpr std::size_t MostCandidates = 30;
+/// Tickets are not used in the last part of their validity.
+constexpr milliseconds TicketMargin{150};
+
+} // namespace
+
+bool Scheduler::State::isBlocked(const JobRecord &Job, const PoolId &Pool,
+                                 Instant Now) const {
+  if (!Job.Inherited || Now >= this->Options.InheritedUntil)
+    return false;
+  const auto Found = this->ByPool.find(Pool);
+  return Found == this->ByPool.end() ||
+         std::ranges::any_of(Found->second, [](const UpstreamRecord *Each) {
+           return !Each->Answered;
+         });
+}
+
+bool Scheduler::State::hasWaitingTask(const StepRecord &Step, const StepSpec &,
+                                      Instant Now) const {
+  return std::ranges::any_of(Step.Tasks, [&](const TaskRecord &Task) {
+    return !Task.Done && Task.Runs.empty() && Task.NotBefore <= Now;
+  });
+}
+
+double Scheduler::State::usePerShare(const OrganisationId &Organisation) const {
+  const auto Used = this->InUse.find(Organisation);
+  const OrganisationSettings *Settings =
+      this->Configuration.organisation(Organisation);
+  if (Used == this->InUse.end() || !Settings || Settings->Share <= 0)
+    return 0;
+  return double(Used->second.CpuMilli) / Settings->Share;
+}
+
+WaitingWork Scheduler::State::weigh(const JobRecord &Job,
+                                    const QueueSettings &Queue,
+                                    const OccurrenceRecord &Occurrence,
+                                    Instant Now) const {
+  const auto Learned = this->Learned.find(Job.Spec.Queue.Id);
+  const double Factor =
+      Learned == this->Learned.end() ? 1.0 : Learned->second.Factor;
+  const Duration Chain = longestChain(Job.Spec, Factor);
+  const Duration Allowed =
+      Duration(std::int64_t(Queue.Stretch * double(Chain.count()))) +
+      Queue.LatencyTarget;
+  const Instant Objective = Job.AcceptedAt + Allowed;
+  const Duration Left = remainingChain(Job.Spec, Occurrence, Factor);
+  return {.Priority = Queue.Priority,
+          .CanBeInTime = Now + Left <= Objective,
+          .RemainingCpuSeconds =
+              remainingCpuSeconds(Job.Spec, Occurrence, Factor),
+          .Objective = Objective,
+          .AcceptedAt = Job.AcceptedAt};
+}
+
+std::vector<WaitingStep> Scheduler::State::waitingSteps(Instant Now) {
+  std::vector<WaitingStep> Waiting;
+  for (const JobId &Id : this->LiveJobs) {
+    JobRecord &Job = *this->Jobs.at(Id);
+    const QueueSettings &Queue = this->settingsOf(Job);
+    if (this->isBlocked(Job, Queue.Pool, Now))
+      continue;
+    for (auto &[Number, Occurrence] : Job.Occurrences) {
+      if (Occurrence.OpenTasks == 0)
+        continue;
+      for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
+        const StepSpec &Spec = Job.Spec.Steps[Step];
+        if (!this->hasWaitingTask(Occurrence.Steps[Step], Spec, Now) ||
+            !isReady(Job.Spec, Occurrence, int(Step)))
+          continue;
+        Waiting.push_back({&Job, &Queue, Number, int(Step),
+                           this->weigh(Job, Queue, Occurrence, Now)});
+      }
+    }
+  }
+  return Waiting;
+}
+
+Resources Scheduler::State::unseenUse(Instant Now) const {
+  Resources Unseen;
+  if (Now >= this->Options.InheritedUntil)
+    return Unseen;
+  for (const auto &[Id, Upstream] : this->Upstreams)
+    if (!Upstream->Answered)
+      Unseen += Upstream->Report.Capacity;
+  return Unseen;
+}
+
+bool Scheduler::State::underCeiling(const OrganisationId &Organisation,
+                                    const Resources &More) const {
+  const OrganisationSettings *Settings =
+      this->Configuration.organisation(Organisation);
+  if (!Settings)
+    return true; // A public queue, or an organisation that was removed.
+  const auto Found = this->InUse.find(Organisation);
+  const Resources Total =
+      More + (Found == this->InUse.end() ? Resources{} : Found->second);
+  const auto Within = [](std::int64_t Used, std::int64_t Limit) {
+    return Limit <= 0 || Used <= Limit;
+  };
+  return Within(Total.CpuMilli, Settings->Ceiling.CpuMilli) &&
+         Within(Total.MemoryMb, Settings->Ceiling.MemoryMb) &&
+         Within(Total.Accelerators, Settings->Ceiling.Accelerators);
+}
+
+UpstreamRecord *Scheduler::State::choose(const PlacementQuestion &Question) {
+  const auto Found = this->ByPool.find(Question.Pool);
+  if (Found == this->ByPool.end())
+    return nullptr;
+  UpstreamRecord *Best = nullptr;
+  double BestScore = 0;
+  for (UpstreamRecord *Candidate : Found->second) {
+    if (!mayRun(*Candidate, Question))
+      continue;
+    const double Score = suitability(*Candidate, Question);
+    if (!Best || Score > BestScore) {
+      Best = Candidate;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+int Scheduler::State::nextNumber(const JobRecord &Job,
+                                 const TaskRecord &Task) const {
+  const int First = Job.Inherited ? this->Options.Term * NumbersPerTerm + 1 : 1;
+  return std::max(Task.LastNumber + 1, First);
+}
+
+void Scheduler::State::start(UpstreamRecord &Where, const WaitingStep &Waiting,
+                             int Index, int Number, Instant Now) {
+  const RunId Id = Waiting.runOf(Index, Number);
+  const StepSpec &Spec = Waiting.spec();
+  StepRecord &Record = Waiting.record();
+  std::string Ticket;
+  if (const auto Found = Record.Tickets.find(Where.Report.Id);
+      Found != Record.Tickets.end())
+    Ticket = Found->second.first;
+  std::string Checkpoint = Record.Tasks[std::size_t(Index)].Checkpoint;
+  if (Spec.Gang) // One value for all members, from whichever saved.
+    for (const TaskRecord &Member : Record.Tasks)
+      if (Member.Checkpoint > Checkpoint)
+        Checkpoint = Member.Checkpoint;
+  this->addRun(Where, Id, Spec, Waiting.Job->Spec.Organisation,
+               RunPhase::Ordered, Now);
+  this->Orders.push_back(StartOrder{
+      Where.Report.Id, Id, Waiting.Job->Spec.Payload, Checkpoint, Ticket});
+}
+
+bool Scheduler::State::askAdvice(const WaitingStep &Waiting, Instant Now) {
+  StepRecord &Record = Waiting.record();
+  const bool Known =
+      std::ranges::any_of(Record.Tickets, [&](const auto &Entry) {
+        return Entry.second.second > Now;
+      });
+  if (Known || Record.AdvicePending)
+    return Known;
+  const auto Found = this->ByPool.find(Waiting.Queue->Pool);
+  if (Found == this->ByPool.end())
+    return false;
+  AdviceOrder Question{Waiting.Job->Spec.Id, Waiting.Occurrence, Waiting.Step};
+  for (const UpstreamRecord *Candidate : Found->second)
+    if (Candidate->Answered && Candidate->Listed &&
+        !Candidate->Report.Draining && !Candidate->Cordoned &&
+        Question.Candidates.size() < MostCandidates)
+      Question.Candidates.push_back(Candidate->Report.Id);
+  if (Question.Candidates.empty())
+    return false;
+  Record.AdvicePending = true;
+  this->Orders.push_back(std::move(Question));
+  return false;
+}
+
+bool Scheduler::State::placeTask(const WaitingStep &Waiting, int Index,
+                                 Instant Now) {
+  const StepSpec &Spec = Waiting.spec();
+  StepRecord &Record = Waiting.record();
+  TaskRecord &Task = Record.Tasks[std::size_t(Index)];
+  if (!this->underCeiling(Waiting.Job->Spec.Organisation,
+                          Spec.Need + this->unseenUse(Now)))
+    return false;
+  UpstreamRecord *Where =
+      this->choose({.Step = &Spec,
+                    .Record = &Record,
+                    .Pool = Waiting.Queue->Pool,
+                    .Task = &Task,
+                    .NeedsTicket = Waiting.Queue->NeedsAdvice,
+                    .Now = Now});
+  if (!Where)
+    return false;
+  this->start(*Where, Waiting, Index, this->nextNumber(*Waiting.Job, Task),
+              Now);
+  return true;
+}
+
+bool Scheduler::State::placeTasks(const WaitingStep &Waiting, Instant Now) {
+  if (Waiting.Queue->NeedsAdvice && !this->askAdvice(Waiting, Now))
+    return true; // Goes on when the advisor has answered.
+  if (Waiting.spec().Gang)
+    return this->placeGang(Waiting, Now);
+  StepRecord &Record = Waiting.record();
+  for (std::size_t Index = 0; Index < Record.Tasks.size(); ++Index) {
+    const TaskRecord &Task = Record.Tasks[Index];
+    if (Task.Done || !Task.Runs.empty() || Task.NotBefore > Now)
+      continue;
+    if (!this->placeTask(Waiting, int(Index), Now))
+      return false;
+  }
+  return true;
+}
+
+bool Scheduler::State::placeGang(const WaitingStep &Waiting, Instant Now) {
+  StepRecord &Record = Waiting.record();
+  const StepSpec &Spec = Waiting.spec();
+  int Number = 0;
+  for (const TaskRecord &Task : Record.Tasks) {
+    // The members of an earlier run must all be gone.
+    if (!Task.Runs.empty() || Task.NotBefore > Now)
+      return true;
+    Number = std::max(Number, this->nextNumber(*Waiting.Job, Task));
+  }
+  const Resources Whole = Spec.Need * std::int64_t(Record.Tasks.size());
+  if (!this->underCeiling(Waiting.Job->Spec.Organisation,
+                          Whole + this->unseenUse(Now)))
+    return false;
+  // Tries each rack by itself first, then the pool as a whole.
+  std::vector<std::string> Racks{""};
+  if (Spec.SameRack)
+    for (const UpstreamRecord *Each : this->ByPool[Waiting.Queue->Pool])
+      if (std::ranges::find(Racks, Each->rack()) == Racks.end())
+        Racks.insert(Racks.begin(), std::string(Each->rack()));
+  for (const std::string &Rack : Racks) {
+    std::vector<std::pair<UpstreamRecord *, int>> Chosen;
+    for (std::size_t Index = 0; Index < Record.Tasks.size(); ++Index) {
+      UpstreamRecord *Where =
+          this->choose({.Step = &Spec,
+                        .Record = &Record,
+                        .Pool = Waiting.Queue->Pool,
+                        .PreferredRack = Rack,
+                        .Task = &Record.Tasks[Index],
+                        .NeedsTicket = Waiting.Queue->NeedsAdvice,
+                        .Now = Now});
+      if (!Where || (!Rack.empty() && Where->rack() != Rack))
+        break;
+      Where->Used += chargedTo(Spec); // Held for the members still to come.
+      ++Record.PerUpstream[Where->Report.Id];
+      Chosen.emplace_back(Where, int(Index));
+    }
+    for (const auto &[Where, Index] : Chosen) {
+      Where->Used -= chargedTo(Spec);
+      if (--Record.PerUpstream[Where->Report.Id] <= 0)
+        Record.PerUpstream.erase(Where->Report.Id);
+    }
+    if (Chosen.size() < Record.Tasks.size())
+      continue;
+    for (const auto &[Where, Index] : Chosen)
+      this->start(*Where, Waiting, Index, Number, Now);
+    return true;
+  }
+  return false;
+}
+
+void Scheduler::adviceAnswered(const AdviceOrder &Asked,
+                               const std::map<UpstreamId, std::string> &Tickets,
+                               Duration Validity, Instant Now) {
+  JobRecord *Job = this->Inner->job(Asked.Job);
+  if (!Job || !Job->Occurrences.contains(Asked.Occurrence))
+    return;
+  StepRecord &Record =
+      Job->Occurrences.at(Asked.Occurrence).Steps[std::size_t(Asked.Step)];
+  Record.AdvicePending = false;
+  for (const auto &[Id, Ticket] : Tickets)
+    Record.Tickets[Id] = {Ticket, Now + Validity - TicketMargin};
+}
+
+std::map<PoolId, PoolDemand> Scheduler::demand(std::int64_t) const {
+  std::map<PoolId, PoolDemand> Demand;
+  for (const JobId &Id : this->Inner->LiveJobs) {
+    const JobRecord &Job = *this->Inner->Jobs.at(Id);
+    PoolDemand &Pool = Demand[this->Inner->settingsOf(Job).Pool];
+    for (const auto &[Number, Occurrence] : Job.Occurrences)
+      for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
+        if (!isReady(Job.Spec, Occurrence, int(Step)))
+          continue;
+        const std::int64_t Cpu = chargedTo(Job.Spec.Steps[Step]).CpuMilli;
+        for (const TaskRecord &Task : Occurrence.Steps[Step].Tasks) {
+          if (Task.Done)
+            continue;
+          Pool.CpuMilli += Cpu;
+          if (Task.Runs.empty())
+            Pool.WaitingCpuMilli += Cpu;
+        }
+      }
+  }
+  return Demand;
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/scheduling/src/schedulerstate.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "sardinerill/scheduling/scheduler.h"
+
+#include "placement.h"
+#include "schedulermodel.h"
+#include "waitingorder.h"
+
+/// \file
+/// The state behind Scheduler, with its steps grouped by duty.
+
+namespace sardinerill::site {
+
+/// A step that has tasks to start.
+struct WaitingStep {
+  JobRecord *Job = nullptr;
+  const QueueSettings *Queue = nullptr;
+  int Occurrence = 0;
+  int Step = 0;
+  WaitingWork Work;
+
+  OccurrenceRecord &occurrence() const {
+    return this->Job->Occurrences.at(this->Occurrence);
+  }
+  StepRecord &record() const {
+    return this->occurrence().Steps[std::size_t(this->Step)];
+  }
+  const StepSpec &spec() const {
+    return this->Job->Spec.Steps[std::size_t(this->Step)];
+  }
+  RunId runOf(int Index, int Number) const {
+    return {{this->Job->Spec.Id, this->Occurrence, this->Step, Index}, Number};
+  }
+};
+
+/// Learned run times of a queue against their estimates.
+struct LearnedTimes {
+  double Factor = 1.0;
+};
+
+struct Scheduler::State {
+  explicit State(SchedulerOptions Options) : Options(Options) {}
+
+  // Jobs (scheduler.cpp)
+  JobRecord *job(const JobId &Id);
+  TaskRecord *task(const TaskId &Id);
+  const StepSpec *spec(const TaskId &Id);
+  const QueueSettings &settingsOf(const JobRecord &Job) const;
+  void changed(JobRecord &Job);
+  void endJob(JobRecord &Job, JobState State, std::string_view Reason,
+              Instant Now);
+  void layOutDue(JobRecord &Job, std::int64_t UnixMs);
+
+  // Runs (schedulerruns.cpp)
+  RunPtr addRun(UpstreamRecord &Where, const RunId &Id, const StepSpec &Step,
+                const OrganisationId &Organisation, RunPhase Phase,
+                Instant Now);
+  void removeRun(const RunPtr &Gone);
+  void wantStop(const RunPtr &Unwanted);
+  void takeEnd(UpstreamRecord &From, const EndedRun &End, Instant Now);
+  void finishTask(JobRecord &Job, const TaskId &Id, Instant Now);
+  void failTask(JobRecord &Job, const TaskId &Id, int Number, Instant Now);
+  void takeActive(UpstreamRecord &From, const ActiveRun &Seen, Instant Now);
+  void dropUnlisted(UpstreamRecord &From, const std::set<RunId> &Seen,
+                    Instant SentAt, std::int64_t ClockMs, Instant Now);
+
+  // Placing (schedulerplacing.cpp)
+  std::vector<WaitingStep> waitingSteps(Instant Now);
+  bool hasWaitingTask(const StepRecord &Step, const StepSpec &Spec,
+                      Instant Now) const;
+  bool isBlocked(const JobRecord &Job, const PoolId &Pool, Instant Now) const;
+  WaitingWork weigh(const JobRecord &Job, const QueueSettings &Queue,
+                    const OccurrenceRecord &Occurrence, Instant Now) const;
+  bool placeTasks(const WaitingStep &Waiting, Instant Now);
+  bool placeGang(const WaitingStep &Waiting, Instant Now);
+  bool placeTask(const WaitingStep &Waiting, int Index, Instant Now);
+  UpstreamRecord *choose(const PlacementQuestion &Question);
+  bool underCeiling(const OrganisationId &Organisation,
+                    const Resources &More) const;
+  Resources unseenUse(Instant Now) const;
+  void start(UpstreamRecord &Where, const WaitingStep &Waiting, int Index,
+             int Number, Instant Now);
+  int nextNumber(const JobRecord &Job, const TaskRecord &Task) const;
+  bool askAdvice(const WaitingStep &Waiting, Instant Now);
+  double usePerShare(const OrganisationId &Organisation) const;
+
+  // Care of what runs (schedulercare.cpp)
+  void replaceStuckRuns(Instant Now);
+  void paceFillers(UpstreamRecord &On, Instant Now);
+  void preemptFor(const WaitingStep &Waiting, Instant Now);
+  bool isAtWork(const RunPtr &Candidate) const;
+  int unavailable(const JobRecord &Job, int Occurrence, int Step,
+                  Instant Now) const;
+  bool mayInterrupt(const RunPtr &Candidate, Instant Now, int AlsoEnding) const;
+
+  SchedulerOptions Options;
+  SiteConfiguration Configuration;
+  std::map<JobId, std::unique_ptr<JobRecord>> Jobs;
+  std::set<JobId> LiveJobs;
+  std::map<UpstreamId, std::unique_ptr<UpstreamRecord>> Upstreams;
+  std::map<PoolId, std::vector<UpstreamRecord *>> ByPool;
+  std::map<OrganisationId, Resources> InUse;
+  std::map<QueueId, LearnedTimes> Learned;
+  std::vector<Order> Orders;
+  std::set<JobId> ChangedJobs;
+  void rebuildPools();
+};
+
+std::string describe(const TaskId &Id);
+std::string describe(const RunId &Id);
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/site/include/sardinerill/site/sitedaemon.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "sardinerill/base/metrics.h"
+#include "sardinerill/site/callerdesk.h"
+#include "sardinerill/site/isitesource.h"
+#include "sardinerill/site/istore.h"
+#include "sardinerill/site/iupstreamclient.h"
+#include "sardinerill/site/ivmcontrol.h"
+#include "sardinerill/site/sitesettings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+/// \file
+/// The daemon of an entry VM that takes jobs and may give a site's orders.
+
+namespace sardinerill::site {
+
+/// What is on the other side of the platform's boundary.
+struct SitePlatform {
+  std::unique_ptr<IStore> Store;
+  std::unique_ptr<ISiteSource> Source;
+  std::unique_ptr<IUpstreamClients> Upstreams;
+  std::unique_ptr<ISiteVmControl> Vms;
+  std::unique_ptr<IAdvisor> Advisor; ///< None where no queue needs advice.
+  JobDecoder DecodeJob = nullptr;
+  CallerCall (*DecodeCall)(const HttpRequest &) = nullptr;
+  HttpResponse (*EncodeAnswer)(const Result<CallerReply> &) = nullptr;
+  std::function<Result<SiteSettings>()> ReloadSettings;
+};
+
+class SiteDaemon {
+public:
+  SiteDaemon(boost::asio::io_context &Context, SiteSettings Settings,
+             SitePlatform Platform, std::unique_ptr<Metrics> Figures);
+  ~SiteDaemon();
+
+  /// Runs until a planned stop has ended.
+  void run();
+
+private:
+  struct State;
+  std::unique_ptr<State> Inner;
+};
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/site/include/sardinerill/site/sitesettings.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "sardinerill/http/httptypes.h"
+#include "sardinerill/scheduling/schedulingtypes.h"
+
+/// \file
+/// Settings of one daemon.
+
+namespace sardinerill::site {
+
+struct SiteSettings {
+  std::string Name;
+  ZoneId Zone;
+  std::string Address;
+  Endpoint CallerDoor;
+  Endpoint ReadinessDoor;
+  Endpoint PeerDoor; ///< For other daemons and metrics.
+  Endpoint Store;
+  Endpoint VmControl;
+  Endpoint Advisor; ///< Invalid: no queue needs advice.
+  SiteBounds Bounds;
+  Duration StopGrace = seconds(6);
+  int VmReadsPerSecond = 1;
+  int VmOrdersPerSecond = 1;
+  bool FirstStart = false;
+  friend bool operator==(const SiteSettings &, const SiteSettings &) = default;
+};
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/site/src/holder.cpp
@@ -0,0 +1,359 @@
+#include "holder.h"
+
+#include "unixtime.h"
+
+#include "sardinerill/base/logging.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sardinerill::site {
+
+namespace {
+
+/// Longest wait for changes of jobs; short enough to notice a silent
+/// connection within the contact bound.
+constexpr milliseconds JobsWait{1000};
+/// Time between two looks at the registry.
+constexpr milliseconds RegistryInterval{500};
+constexpr milliseconds RegistryLimit{900};
+constexpr milliseconds RetryPause{100};
+/// Decisions are made at least this often, for what time alone brings.
+constexpr milliseconds DecisionInterval{100};
+/// News that come within this time are decided together.
+constexpr milliseconds DecisionDelay{2};
+constexpr milliseconds StoreLimit{900};
+/// Rows in one transaction, which takes 100 entries.
+constexpr std::size_t MostRowsTogether = 90;
+constexpr milliseconds AdviceLimit{2500};
+/// An entry that is missing for this long, through answered looks, is gone.
+constexpr milliseconds MissingLimit{2500};
+constexpr seconds RemovalInterval{20};
+
+SchedulerOptions schedulerOptions(const HolderParts &Parts,
+                                  const OwnershipTimes &Times,
+                                  const Succession &From) {
+  // Leases of upstreams run on clocks that may be 2% slow.
+  Duration Unseen = Parts.Settings.Bounds.LongestHold * 51 / 50 + seconds(1);
+  if (From.Before == Predecessor::MayOrder)
+    Unseen += Times.Lease;
+  return {.Bounds = Parts.Settings.Bounds,
+          .Term = From.Term,
+          .InheritedUntil = From.ClaimSentAt + Unseen};
+}
+
+} // namespace
+
+Holder::Holder(HolderParts Parts, OwnershipTimes Times, Succession From)
+    : Parts(Parts), Times(Times), From(From),
+      Ownership(Times, From.Token, From.ClaimSentAt),
+      Plan(schedulerOptions(Parts, Times, From)), Decide(Parts.Executor),
+      Store(Parts.Executor),
+      Context(std::make_shared<LinkContext>(
+          LinkContext{Parts.Executor, Parts.Clock, this->Plan, this->Ownership,
+                      this->Decide, this->Parts.Settings.Bounds})),
+      Keeper({.Executor = Parts.Executor,
+              .Clock = Parts.Clock,
+              .Source = Parts.Source,
+              .Vms = Parts.Vms,
+              .Settings = Parts.Settings,
+              .Plan = this->Plan,
+              .Ownership = this->Ownership,
+              .Figures = Parts.Figures},
+             From.Before == Predecessor::MayOrder
+                 ? From.ClaimSentAt + Times.Lease
+                 : From.ClaimSentAt) {}
+
+void Holder::run() {
+  const auto Self = this->shared_from_this();
+  spawn(this->Parts.Executor, "holder-load",
+        [Self] { return Self->loadLoop(); });
+}
+
+void Holder::stop() {
+  this->Context->Stopped = true;
+  this->Keeper.stop();
+  for (auto &[Id, Link] : this->Links)
+    Link->close();
+  this->Decide.notify();
+  this->Store.notify();
+}
+
+void Holder::configure(const SiteConfiguration &Configuration) {
+  this->Plan.configure(Configuration);
+  this->Keeper.configure(Configuration);
+  this->Decide.notify();
+}
+
+void Holder::addWaves(const std::vector<MaintenanceWave> &Waves) {
+  this->Keeper.addWaves(Waves);
+}
+
+std::optional<JobState> Holder::stateOf(const JobId &Job) const {
+  return this->Plan.stateOf(Job);
+}
+
+int Holder::pendingJobs(const QueueId &Queue) const {
+  return this->Plan.pendingJobs(Queue);
+}
+
+void Holder::take(const JobChange &Change, const JobProgress *Progress) {
+  const Instant Now = this->Parts.Clock.now();
+  if (Change.Cancelled) {
+    this->Plan.cancelJob(Change.Job, Now);
+    return;
+  }
+  if (!Change.Spec || this->Plan.knows(Change.Job))
+    return;
+  const std::int64_t AgeMs =
+      std::max<std::int64_t>(0, unixMillis() - Change.Spec->AcceptedAtMs);
+  const bool Inherited = Change.Version < this->From.Token;
+  // The time of day may have jumped: only an inherited job's age is trusted.
+  const Instant AcceptedAt = Inherited ? Now - milliseconds(AgeMs) : Now;
+  std::optional<JobProgress> Known;
+  if (Progress)
+    Known = *Progress;
+  this->Plan.addJob(*Change.Spec, Known, Inherited, AcceptedAt, Now);
+}
+
+Async<void> Holder::loadLoop() {
+  const auto Self = this->shared_from_this();
+  const Instant Began = this->Parts.Clock.now();
+  while (!this->Context->Stopped && !this->Loaded) {
+    const auto Stored = co_await this->Parts.Jobs.loadAll();
+    if (this->Context->Stopped)
+      co_return;
+    if (!Stored) {
+      co_await pauseFor(RetryPause);
+      continue;
+    }
+    for (const JobChange &Change : Stored->Changes) {
+      const auto Progress = Stored->Progress.find(Change.Job);
+      this->take(Change, Progress == Stored->Progress.end()
+                             ? nullptr
+                             : &Progress->second);
+    }
+    this->JobsVersion = Stored->Version;
+    this->Loaded = true;
+  }
+  const Duration Took = this->Parts.Clock.now() - Began;
+  logEvent(LogLevel::Info, "holder.loaded",
+           {{"jobs", std::to_string(this->Plan.jobs().size())},
+            {"token", std::to_string(this->From.Token)},
+            {"took_ms",
+             std::to_string(
+                 std::chrono::duration_cast<milliseconds>(Took).count())}});
+  spawn(this->Parts.Executor, "holder-jobs",
+        [Self] { return Self->followJobs(); });
+  spawn(this->Parts.Executor, "holder-registry",
+        [Self] { return Self->followRegistry(); });
+  spawn(this->Parts.Executor, "holder-decide",
+        [Self] { return Self->decideLoop(); });
+  spawn(this->Parts.Executor, "holder-store",
+        [Self] { return Self->storeLoop(); });
+  spawn(this->Parts.Executor, "holder-vms",
+        [Self] { return Self->Keeper.run(); });
+}
+
+Async<void> Holder::followJobs() {
+  while (!this->Context->Stopped) {
+    const auto Changes =
+        co_await this->Parts.Jobs.changes(this->JobsVersion, JobsWait);
+    if (this->Context->Stopped)
+      co_return;
+    if (Changes) {
+      for (const JobChange &Change : *Changes)
+        this->take(Change, nullptr);
+      if (!Changes->empty())
+        this->Decide.notify();
+      continue;
+    }
+    if (Changes.error().Kind == ErrorKind::PlatformHistoryGone) {
+      logEvent(LogLevel::Warning, "holder.history_gone",
+               {{"version", std::to_string(this->JobsVersion)}});
+      if (const auto Stored = co_await this->Parts.Jobs.loadAll()) {
+        if (this->Context->Stopped)
+          co_return;
+        for (const JobChange &Change : Stored->Changes)
+          this->take(Change, nullptr);
+        this->JobsVersion = Stored->Version;
+        this->Decide.notify();
+      }
+    }
+    co_await pauseFor(RetryPause);
+  }
+}
+
+void Holder::take(const RegistryView &View) {
+  const Instant Now = this->Parts.Clock.now();
+  std::set<UpstreamId> Seen;
+  for (const UpstreamReport &Report : View.Upstreams) {
+    Seen.insert(Report.Id);
+    this->MissingSince.erase(Report.Id);
+    this->Plan.reportUpstream(Report, Now);
+    auto &Link = this->Links[Report.Id];
+    const bool Other = Link && (Link->report().Address != Report.Address ||
+                                (Report.BornMs && Link->report().BornMs &&
+                                 Link->report().BornMs < Report.BornMs));
+    if (Link && !Link->closed() && !Other)
+      continue;
+    if (Link)
+      Link->close();
+    Link = std::make_shared<UpstreamLink>(
+        this->Context, Report, this->Parts.Upstreams.connect(Report));
+    Link->run();
+  }
+  for (auto &[Id, Link] : this->Links)
+    if (!Seen.contains(Id) &&
+        Now - this->MissingSince.try_emplace(Id, Now).first->second >
+            MissingLimit)
+      this->Plan.unlistUpstream(Id, Now);
+  // A link that was lost goes once its entry has gone too.
+  std::erase_if(this->Links, [&](const auto &Entry) {
+    return !Seen.contains(Entry.first) && Entry.second->closed();
+  });
+  this->Parts.Figures.setGauge("registry_upstreams",
+                               double(View.Upstreams.size()));
+  if (View.Unreadable)
+    this->Parts.Figures.count("registry_rows_skipped_total",
+                              std::uint64_t(View.Unreadable));
+}
+
+Async<void> Holder::followRegistry() {
+  while (!this->Context->Stopped) {
+    const auto View = co_await this->Parts.Source.readRegistry(RegistryLimit);
+    if (this->Context->Stopped)
+      co_return;
+    if (View) {
+      this->take(*View);
+      this->Decide.notify();
+    } else {
+      this->MissingSince.clear(); // Nothing is missing that was not looked up.
+    }
+    co_await pauseFor(RegistryInterval);
+  }
+}
+
+void Holder::carryOut(Order &Wanted) {
+  if (auto *Question = std::get_if<AdviceOrder>(&Wanted)) {
+    spawn(this->Parts.Executor, "holder-advice",
+          [Self = this->shared_from_this(), Asked = std::move(*Question)] {
+            return Self->askAdvice(Asked);
+          });
+    return;
+  }
+  std::visit(
+      [this](auto &Each) {
+        if constexpr (requires { Each.Where; }) {
+          const auto Found = this->Links.find(Each.Where);
+          if (Found != this->Links.end() && !Found->second->closed())
+            Found->second->send(std::move(Each));
+          else if constexpr (std::is_same_v<std::decay_t<decltype(Each)>,
+                                            StartOrder>)
+            this->Plan.startAnswered(Each.Where, Each.Run,
+                                     StartOutcome::Refused,
+                                     this->Parts.Clock.now());
+        }
+      },
+      Wanted);
+}
+
+Async<void> Holder::askAdvice(AdviceOrder Question) {
+  Advice Given;
+  if (this->Parts.Advisor) {
+    auto Answer = co_await this->Parts.Advisor->ask(Question, AdviceLimit);
+    if (Answer)
+      Given = std::move(*Answer);
+    else
+      logEvent(
+          LogLevel::Warning, "advice.failed",
+          {{"job", Question.Job.str()}, {"reason", Answer.error().Detail}});
+  }
+  if (this->Context->Stopped)
+    co_return;
+  this->Plan.adviceAnswered(Question, Given.Tickets, Given.Validity,
+                            this->Parts.Clock.now());
+  this->Decide.notify();
+}
+
+Async<void> Holder::decideLoop() {
+  while (!this->Context->Stopped) {
+    const bool News = co_await this->Decide.wait(DecisionInterval);
+    if (this->Context->Stopped)
+      co_return;
+    if (News)
+      co_await pauseFor(DecisionDelay);
+    const Instant Now = this->Parts.Clock.now();
+    if (!this->Ownership.mayOrder(Now)) {
+      co_await pauseFor(RetryPause);
+      continue;
+    }
+    this->Plan.decide(Now, unixMillis());
+    for (Order &Wanted : this->Plan.takeOrders())
+      this->carryOut(Wanted);
+    this->Store.notify();
+  }
+}
+
+Async<void> Holder::storeOnce() {
+  std::vector<ProgressChange> Changes = this->Plan.takeProgress();
+  for (std::size_t Done = 0; Done < Changes.size();) {
+    const std::size_t Count = std::min(MostRowsTogether, Changes.size() - Done);
+    Transaction Batch;
+    // Only the latest holder may store progress.
+    Batch.Expectations.push_back({epochKey(), this->From.Token});
+    for (std::size_t Index = Done; Index < Done + Count; ++Index)
+      Batch.Writes.push_back(
+          {JobTable::progressKey(Changes[Index].Job), Changes[Index].Text});
+    const auto Outcome =
+        co_await this->Parts.Store.transact(std::move(Batch), StoreLimit);
+    if (this->Context->Stopped && !Outcome)
+      co_return;
+    if (!Outcome) {
+      this->Parts.Figures.countRetry(RetryReason::PlatformTimeout);
+      co_await pauseFor(RetryPause);
+      continue;
+    }
+    if (!Outcome->Applied) {
+      this->Ownership.superseded();
+      co_return;
+    }
+    for (std::size_t Index = Done; Index < Done + Count; ++Index)
+      this->Plan.progressStored(Changes[Index].Job, Changes[Index].Revision);
+    Done += Count;
+  }
+}
+
+Async<void> Holder::storeLoop() {
+  Instant NextRemoval = this->Parts.Clock.now() + RemovalInterval;
+  while (!this->Context->Stopped) {
+    co_await this->Store.wait(seconds(1));
+    this->Storing = true;
+    co_await this->storeOnce();
+    this->Storing = false;
+    if (this->Context->Stopped || this->Ownership.lost())
+      co_return;
+    this->publishFigures();
+    const Instant Now = this->Parts.Clock.now();
+    if (Now < NextRemoval)
+      continue;
+    NextRemoval = Now + RemovalInterval;
+    co_await this->Parts.Jobs.remove(this->Plan.takeExpired(Now));
+  }
+}
+
+Async<void> Holder::flush(Duration Limit) {
+  const Instant Until = this->Parts.Clock.now() + Limit;
+  constexpr milliseconds LookAgain{20};
+  while (this->Storing && this->Parts.Clock.now() < Until)
+    co_await pauseFor(LookAgain);
+  if (!this->Ownership.lost())
+    co_await this->storeOnce();
+}
+
+void Holder::publishFigures() {
+  this->Parts.Figures.setGauge("holder_jobs", double(this->Plan.jobs().size()));
+  this->Parts.Figures.setGauge("holder_token", double(this->From.Token));
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/site/src/holder.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "jobtable.h"
+#include "upstreamlink.h"
+#include "vmkeeper.h"
+
+#include "sardinerill/site/isitesource.h"
+#include "sardinerill/site/sitesettings.h"
+
+/// \file
+/// What the one daemon does that gives the orders: it follows accepted jobs and
+/// the registry, lets the scheduler decide, carries out its orders and stores
+/// progress.
+
+namespace sardinerill::site {
+
+/// The parts of a daemon that a holder works with.
+struct HolderParts {
+  boost::asio::any_io_executor Executor;
+  const IClock &Clock;
+  IStore &Store;
+  ISiteSource &Source;
+  IUpstreamClients &Upstreams;
+  ISiteVmControl &Vms;
+  IAdvisor *Advisor = nullptr;
+  JobTable &Jobs;
+  Metrics &Figures;
+  const SiteSettings &Settings;
+};
+
+/// How the orders came to this daemon.
+struct Succession {
+  std::int64_t Token = 0; ///< Version of the row of the claim.
+  int Term = 0;
+  Predecessor Before = Predecessor::None;
+  Instant ClaimSentAt{};
+};
+
+class Holder : public std::enable_shared_from_this<Holder> {
+public:
+  Holder(HolderParts Parts, OwnershipTimes Times, Succession From);
+
+  void run();
+  /// Gives no further orders; what runs goes on.
+  void stop();
+  /// Waits until progress is stored, at most for \p Limit.
+  Async<void> flush(Duration Limit);
+
+  HeldOwnership &ownership() { return this->Ownership; }
+  void configure(const SiteConfiguration &Configuration);
+  void addWaves(const std::vector<MaintenanceWave> &Waves);
+
+  /// \returns whether all accepted jobs are known here.
+  bool ready() const { return this->Loaded; }
+  std::optional<JobState> stateOf(const JobId &Job) const;
+  int pendingJobs(const QueueId &Queue) const;
+
+private:
+  Async<void> loadLoop();
+  Async<void> followJobs();
+  Async<void> followRegistry();
+  Async<void> decideLoop();
+  Async<void> storeLoop();
+  Async<void> storeOnce();
+  Async<void> askAdvice(AdviceOrder Question);
+  void take(const JobChange &Change, const JobProgress *Progress);
+  void take(const RegistryView &View);
+  void carryOut(Order &Wanted);
+  void publishFigures();
+
+  HolderParts Parts;
+  OwnershipTimes Times;
+  Succession From;
+  HeldOwnership Ownership;
+  Scheduler Plan;
+  Signal Decide;
+  Signal Store;
+  std::shared_ptr<LinkContext> Context;
+  std::map<UpstreamId, std::shared_ptr<UpstreamLink>> Links;
+  std::map<UpstreamId, Instant> MissingSince;
+  VmKeeper Keeper;
+  bool Loaded = false;
+  bool Storing = false;
+  std::int64_t JobsVersion = 0;
+};
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/site/src/jobtable.cpp
@@ -0,0 +1,321 @@
+#include "jobtable.h"
+
+#include "sardinerill/base/logging.h"
+
+#include <algorithm>
+
+namespace sardinerill::site {
+
+namespace {
+
+constexpr std::string_view JobsTable = "jobs";
+constexpr std::string_view ProgressTable = "progress";
+constexpr std::string_view ProgressPartition = "p";
+constexpr std::string_view CancelSuffix = ".cancelled";
+/// Partitions of the jobs; one takes about 200 transactions a second, and far
+/// fewer while the table is slow.
+constexpr std::size_t PartitionCount = 8;
+/// Jobs in one transaction; the table takes 100 entries and 1 MB.
+constexpr std::size_t MostJobsTogether = 40;
+constexpr std::size_t MostBytesTogether = 600 * 1024;
+/// Time limit of one call; the table may be 60 times slower than its usual 5
+/// ms.
+constexpr milliseconds CallLimit{900};
+/// Pause after a call that failed.
+constexpr milliseconds RetryPause{60};
+/// Rows in one transaction that removes.
+constexpr std::size_t MostRemovals = 45;
+
+std::string partitionOf(const JobId &Job) {
+  std::size_t Sum = 0;
+  for (const unsigned char Byte : Job.str())
+    Sum = Sum * 31 + Byte;
+  return "j" + std::to_string(Sum % PartitionCount);
+}
+
+RowKey jobKey(const JobId &Job) {
+  return {std::string(JobsTable), partitionOf(Job), Job.str()};
+}
+
+RowKey cancelKey(const JobId &Job) {
+  RowKey Key = jobKey(Job);
+  Key.Key += CancelSuffix;
+  return Key;
+}
+
+std::optional<JobChange> changeOf(const Row &Read) {
+  if (Read.Removed)
+    return std::nullopt;
+  const std::string &Key = Read.Where.Key;
+  if (Key.ends_with(CancelSuffix))
+    return JobChange{.Job =
+                         JobId(Key.substr(0, Key.size() - CancelSuffix.size())),
+                     .Cancelled = true,
+                     .Version = Read.Version};
+  auto Spec = decodeJob(Read.Value);
+  if (!Spec) {
+    logEvent(LogLevel::Error, "job.row_skipped",
+             {{"job", Key}, {"reason", Spec.error().Detail}});
+    return std::nullopt;
+  }
+  return JobChange{
+      .Job = Spec->Id, .Spec = std::move(*Spec), .Version = Read.Version};
+}
+
+} // namespace
+
+struct JobTable::Submission {
+  Submission(boost::asio::any_io_executor Executor, JobSpec Spec, Instant Until)
+      : Spec(std::move(Spec)), Until(Until), Settled(Executor) {}
+  JobSpec Spec;
+  Instant Until;
+  Signal Settled;
+  bool MayBeStored = false; ///< A call that carried it brought no answer.
+  std::optional<Result<void>> Outcome;
+
+  void settle(Result<void> With) {
+    this->Outcome = std::move(With);
+    this->Settled.notify();
+  }
+};
+
+struct JobTable::Lane {
+  std::deque<std::shared_ptr<Submission>> Waiting;
+  bool Running = false;
+};
+
+JobTable::JobTable(boost::asio::any_io_executor Executor, IStore &Store,
+                   const IClock &Clock, Metrics &Figures)
+    : Executor(Executor), Store(Store), Clock(Clock), Figures(Figures) {
+  for (std::size_t Index = 0; Index < PartitionCount; ++Index)
+    this->Lanes.push_back(std::make_shared<Lane>());
+}
+
+JobTable::~JobTable() = default;
+
+RowKey JobTable::progressKey(const JobId &Job) {
+  return {std::string(ProgressTable), std::string(ProgressPartition),
+          Job.str()};
+}
+
+JobTable::Lane &JobTable::laneOf(const JobId &Job) {
+  const std::size_t Index = std::size_t(partitionOf(Job)[1] - '0');
+  return *this->Lanes[Index];
+}
+
+Async<Result<void>> JobTable::accept(JobSpec Spec, Instant Until) {
+  Lane &Mine = this->laneOf(Spec.Id);
+  auto Entry =
+      std::make_shared<Submission>(this->Executor, std::move(Spec), Until);
+  Mine.Waiting.push_back(Entry);
+  if (!std::exchange(Mine.Running, true)) {
+    auto Kept = this->Lanes[std::size_t(partitionOf(Entry->Spec.Id)[1] - '0')];
+    spawn(this->Executor, "job-acceptance",
+          [this, Kept] { return this->runLane(Kept); });
+  }
+  while (!Entry->Outcome)
+    co_await Entry->Settled.wait(seconds(1));
+  co_return *Entry->Outcome;
+}
+
+Async<void> JobTable::runLane(std::shared_ptr<Lane> Which) {
+  while (!Which->Waiting.empty()) {
+    co_await this->commit(*Which);
+    const Instant Now = this->Clock.now();
+    std::erase_if(Which->Waiting, [&](const auto &Entry) {
+      if (Entry->Outcome)
+        return true;
+      if (Now < Entry->Until)
+        return false;
+      Entry->settle(
+          makeError(Entry->MayBeStored ? ErrorKind::PlatformOutcomeUnknown
+                                       : ErrorKind::PlatformUnavailable,
+                    "the job could not be stored in time", milliseconds(1000)));
+      return true;
+    });
+  }
+  Which->Running = false;
+}
+
+Async<void> JobTable::commit(Lane &Which) {
+  Transaction Change;
+  std::vector<std::shared_ptr<Submission>> Together;
+  std::size_t Bytes = 0;
+  for (const auto &Entry : Which.Waiting) {
+    const bool Twice = std::ranges::any_of(Together, [&](const auto &Other) {
+      return Other->Spec.Id == Entry->Spec.Id;
+    });
+    if (Twice)
+      continue;
+    std::string Text = encodeJob(Entry->Spec);
+    Bytes += Text.size();
+    if (!Together.empty() &&
+        (Together.size() >= MostJobsTogether || Bytes > MostBytesTogether))
+      break;
+    const RowKey Key = jobKey(Entry->Spec.Id);
+    Change.Expectations.push_back({Key, 0});
+    Change.Writes.push_back({Key, std::move(Text)});
+    Together.push_back(Entry);
+  }
+  const auto Outcome =
+      co_await this->Store.transact(std::move(Change), CallLimit);
+  if (!Outcome) {
+    const bool Unknown =
+        Outcome.error().Kind == ErrorKind::PlatformOutcomeUnknown;
+    for (const auto &Entry : Together)
+      Entry->MayBeStored = Entry->MayBeStored || Unknown;
+    this->Figures.countRetry(RetryReason::PlatformTimeout);
+    co_await pauseFor(RetryPause);
+    co_return;
+  }
+  for (const auto &Entry : Together) {
+    const RowKey Key = jobKey(Entry->Spec.Id);
+    const bool Exists =
+        std::ranges::any_of(Outcome->Conflicts, [&](const Row &Other) {
+          return Other.Where == Key && Other.Version != 0;
+        });
+    // A row that is there already is this job: the id is the caller's.
+    if (Outcome->Applied || Exists)
+      Entry->settle({});
+  }
+}
+
+Async<Result<StoredJob>> JobTable::find(JobId Job, Instant Until) {
+  const RowKey Key = jobKey(Job);
+  const std::string Last = Job.str() + "~"; // Behind the cancellation.
+  while (true) {
+    auto Page = co_await this->Store.read(
+        {Key.Table, Key.Partition, Key.Key, Last}, CallLimit);
+    if (Page) {
+      std::optional<StoredJob> Found;
+      bool Cancelled = false;
+      for (const Row &Read : Page->Rows) {
+        auto Change = changeOf(Read);
+        if (!Change || Change->Job != Job)
+          continue;
+        Cancelled = Cancelled || Change->Cancelled;
+        if (Change->Spec)
+          Found = StoredJob{.Spec = std::move(*Change->Spec),
+                            .Version = Change->Version};
+      }
+      if (!Found)
+        co_return makeError(ErrorKind::JobNotFound, "no such job");
+      Found->Cancelled = Cancelled;
+      const RowKey Where = progressKey(Job);
+      const auto Progress = co_await this->Store.read(
+          {Where.Table, Where.Partition, Where.Key, Last}, CallLimit);
+      if (Progress && !Progress->Rows.empty())
+        if (auto Decoded = decodeProgress(Progress->Rows.front().Value))
+          Found->Progress = std::move(*Decoded);
+      if (Progress)
+        co_return std::move(*Found);
+    }
+    if (this->Clock.now() + RetryPause >= Until)
+      co_return makeError(ErrorKind::PlatformUnavailable,
+                          "the table can't be read", milliseconds(1000));
+    co_await pauseFor(RetryPause);
+  }
+}
+
+Async<Result<void>> JobTable::cancel(StoredJob Job, Instant Until) {
+  bool MayBeStored = false;
+  while (true) {
+    Transaction Change;
+    Change.Expectations.push_back({jobKey(Job.Spec.Id), Job.Version});
+    Change.Writes.push_back({cancelKey(Job.Spec.Id), "{}"});
+    const auto Outcome =
+        co_await this->Store.transact(std::move(Change), CallLimit);
+    if (Outcome && Outcome->Applied)
+      co_return Result<void>();
+    if (Outcome) // The job was removed meanwhile: it ended long ago.
+      co_return makeError(ErrorKind::JobNotFound, "no such job");
+    MayBeStored = MayBeStored ||
+                  Outcome.error().Kind == ErrorKind::PlatformOutcomeUnknown;
+    if (this->Clock.now() + RetryPause >= Until)
+      co_return makeError(MayBeStored ? ErrorKind::PlatformOutcomeUnknown
+                                      : ErrorKind::PlatformUnavailable,
+                          "the cancellation could not be stored in time",
+                          milliseconds(1000));
+    co_await pauseFor(RetryPause);
+  }
+}
+
+Async<Result<StoredJobs>> JobTable::loadAll() {
+  StoredJobs Loaded;
+  std::vector<JobChange> Cancelled;
+  for (std::size_t Index = 0; Index < PartitionCount; ++Index) {
+    auto Page = co_await readAll(
+        this->Store,
+        {std::string(JobsTable), "j" + std::to_string(Index), "", ""},
+        CallLimit);
+    if (!Page)
+      co_return tl::unexpected(Page.error());
+    Loaded.Version = Index == 0 ? Page->NewestVersion
+                                : std::min(Loaded.Version, Page->NewestVersion);
+    for (const Row &Read : Page->Rows)
+      if (auto Change = changeOf(Read))
+        (Change->Cancelled ? Cancelled : Loaded.Changes)
+            .push_back(std::move(*Change));
+  }
+  Loaded.Changes.insert(Loaded.Changes.end(), Cancelled.begin(),
+                        Cancelled.end());
+  auto Progress = co_await readAll(
+      this->Store,
+      {std::string(ProgressTable), std::string(ProgressPartition), "", ""},
+      CallLimit);
+  if (!Progress)
+    co_return tl::unexpected(Progress.error());
+  for (const Row &Read : Progress->Rows)
+    if (auto Decoded = decodeProgress(Read.Value))
+      Loaded.Progress[JobId(Read.Where.Key)] = std::move(*Decoded);
+  co_return Loaded;
+}
+
+Async<Result<std::vector<JobChange>>> JobTable::changes(std::int64_t &Version,
+                                                        Duration Wait) {
+  const auto Page =
+      co_await this->Store.changes(std::string(JobsTable), Version, Wait);
+  if (!Page)
+    co_return tl::unexpected(Page.error());
+  std::vector<JobChange> Changes;
+  for (const Row &Read : Page->Rows)
+    if (auto Change = changeOf(Read))
+      Changes.push_back(std::move(*Change));
+  Version = std::max(Version, Page->NewestVersion);
+  co_return Changes;
+}
+
+Async<void> JobTable::remove(std::vector<JobId> Jobs) {
+  std::map<std::string, std::vector<JobId>> ByPartition;
+  for (const JobId &Job : Jobs)
+    ByPartition[partitionOf(Job)].push_back(Job);
+  std::vector<Transaction> Removals;
+  for (const auto &[Partition, Members] : ByPartition) {
+    Transaction Change;
+    for (const JobId &Job : Members) {
+      Change.Removals.push_back(jobKey(Job));
+      Change.Removals.push_back(cancelKey(Job));
+      if (Change.Removals.size() >= 2 * MostRemovals)
+        Removals.push_back(std::exchange(Change, {}));
+    }
+    Removals.push_back(std::move(Change));
+  }
+  Transaction Progress;
+  for (const JobId &Job : Jobs) {
+    Progress.Removals.push_back(progressKey(Job));
+    if (Progress.Removals.size() >= 2 * MostRemovals)
+      Removals.push_back(std::exchange(Progress, {}));
+  }
+  Removals.push_back(std::move(Progress));
+  for (Transaction &Change : Removals) {
+    if (Change.Removals.empty())
+      continue;
+    const auto Outcome =
+        co_await this->Store.transact(std::move(Change), CallLimit);
+    if (!Outcome) // Rows that stay take room until a later holder removes them.
+      logEvent(LogLevel::Warning, "job.removal_failed",
+               {{"reason", Outcome.error().Detail}});
+  }
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -0,0 +1,188 @@
+#include "ownershipkeeper.h"
+
+#include "peerdoor.h"
+#include "unixtime.h"
+
+#include "sardinerill/base/logging.h"
+
+#include <algorithm>
+
+namespace sardinerill::site {
+
+namespace {
+
+constexpr milliseconds CallLimit{800};
+constexpr milliseconds ProbeLimit{300};
+/// Claims of several daemons are spread over this time.
+constexpr int ClaimSpreadMs = 120;
+
+} // namespace
+
+OwnershipKeeper::OwnershipKeeper(HolderParts Parts, std::string Incarnation,
+                                 std::function<void(Succession)> StartHolding,
+                                 std::function<void()> StopHolding)
+    : Parts(Parts), Incarnation(std::move(Incarnation)),
+      StartHolding(std::move(StartHolding)),
+      StopHolding(std::move(StopHolding)), Watch(this->Times),
+      Look(Parts.Executor) {}
+
+OwnershipRow OwnershipKeeper::ownRow(int OfTerm) const {
+  return {.Holder = this->Parts.Settings.Name,
+          .Incarnation = this->Incarnation,
+          .PeerAddress = this->Parts.Settings.PeerDoor.str(),
+          .Term = OfTerm};
+}
+
+Async<void> OwnershipKeeper::run() {
+  while (true) {
+    if (this->Held && this->Held->lost()) {
+      logEvent(LogLevel::Warning, "ownership.lost",
+               {{"token", std::to_string(this->Held->token())}});
+      this->Held = nullptr;
+      this->StopHolding();
+    }
+    if (this->Held)
+      co_await this->renew();
+    else if (!this->Releasing)
+      co_await this->watch();
+    else
+      co_return;
+    co_await this->Look.wait(this->Times.Renewal);
+  }
+}
+
+Async<void> OwnershipKeeper::renew() {
+  const Instant SentAt = this->Parts.Clock.now();
+  Transaction Change;
+  Change.Expectations.push_back({ownershipKey(), this->RowVersion});
+  Change.Writes.push_back(
+      {ownershipKey(), encodeOwnership(this->ownRow(this->Term))});
+  const auto Outcome =
+      co_await this->Parts.Store.transact(std::move(Change), CallLimit);
+  if (!this->Held || !Outcome)
+    co_return; // The lease runs on; the next look tries again.
+  if (Outcome->Applied) {
+    this->RowVersion = Outcome->Version;
+    this->Held->renewed(SentAt);
+    co_return;
+  }
+  for (const Row &Current : Outcome->Conflicts) {
+    const auto Read = decodeOwnership(Current.Value);
+    if (Current.Where != ownershipKey() || !Read)
+      continue;
+    if (Read->Incarnation == this->Incarnation && !Read->Released) {
+      // An earlier renewal that brought no answer was carried out.
+      this->RowVersion = Current.Version;
+      this->Look.notify();
+      co_return;
+    }
+  }
+  this->Held->superseded();
+  this->Look.notify();
+}
+
+Async<void> OwnershipKeeper::probeHolder() {
+  const Endpoint Where = Endpoint::parse(this->Watch.row().PeerAddress);
+  if (!Where.valid())
+    co_return;
+  const std::string Asked = this->Watch.row().Incarnation;
+  if (!this->HolderDoor || this->HolderDoor->peer() != Where)
+    this->HolderDoor = std::make_unique<HttpClient>(
+        this->Parts.Executor,
+        HttpClientOptions{.Peer = Where, .KeptConnections = 1});
+  const auto Answer =
+      co_await this->HolderDoor->call(aliveRequest(), ProbeLimit);
+  const bool Refused = !Answer && Answer.error() == HttpFault::Refused;
+  const bool Other = Answer && Answer->Status == 200 && Answer->Body != Asked;
+  if (Refused || Other)
+    this->Watch.holderIsGone(Asked);
+}
+
+Async<void> OwnershipKeeper::watch() {
+  const Instant AskedAt = this->Parts.Clock.now();
+  RowRange Range{ownershipKey().Table, ownershipKey().Partition};
+  const auto Page =
+      co_await this->Parts.Store.read(std::move(Range), CallLimit);
+  if (!Page)
+    co_return;
+  const Row *Epoch = nullptr;
+  const Row *Site = nullptr;
+  for (const Row &Read : Page->Rows) {
+    if (Read.Where == epochKey())
+      Epoch = &Read;
+    if (Read.Where == ownershipKey())
+      Site = &Read;
+  }
+  if (!Site) {
+    this->Watch.observeAbsent();
+  } else if (const auto Read = decodeOwnership(Site->Value)) {
+    this->Watch.observe(Site->Version, *Read, AskedAt, this->Parts.Clock.now());
+    if (Read->Incarnation == this->Incarnation && !Read->Released && Epoch) {
+      // A claim that brought no answer was carried out.
+      this->RowVersion = Site->Version;
+      this->begin(Epoch->Version, *Read, Predecessor::MayOrder, AskedAt);
+      co_return;
+    }
+    if (Read->Holder == this->Parts.Settings.Name)
+      this->Watch.holderIsGone(Read->Incarnation); // Our last process.
+    else if (!this->Watch.mayClaim())
+      co_await this->probeHolder();
+  }
+  if (this->Watch.mayClaim() && !this->Releasing)
+    co_await this->claim();
+}
+
+Async<void> OwnershipKeeper::claim() {
+  const int Spread =
+      int(std::hash<std::string>()(this->Incarnation) % ClaimSpreadMs);
+  co_await pauseFor(milliseconds(Spread));
+  const Predecessor Before = this->Watch.predecessor();
+  const OwnershipRow Mine = this->ownRow(this->Watch.row().Term + 1);
+  Transaction Change;
+  Change.Expectations.push_back({ownershipKey(), this->Watch.version()});
+  Change.Writes.push_back({ownershipKey(), encodeOwnership(Mine)});
+  Change.Writes.push_back({epochKey(), this->Incarnation});
+  const Instant SentAt = this->Parts.Clock.now();
+  const auto Outcome =
+      co_await this->Parts.Store.transact(std::move(Change), CallLimit);
+  if (!Outcome) {
+    this->Look.notify(); // It may have been carried out: look.
+    co_return;
+  }
+  if (!Outcome->Applied)
+    co_return; // Another daemon was faster.
+  this->RowVersion = Outcome->Version;
+  this->begin(Outcome->Version, Mine, Before, SentAt);
+}
+
+void OwnershipKeeper::begin(std::int64_t Token, const OwnershipRow &Mine,
+                            Predecessor Before, Instant SentAt) {
+  this->Term = Mine.Term;
+  logEvent(
+      LogLevel::Info, "ownership.claimed",
+      {{"token", std::to_string(Token)},
+       {"term", std::to_string(Mine.Term)},
+       {"before", this->Watch.row().Holder},
+       {"before_may_order", Before == Predecessor::MayOrder ? "yes" : "no"}});
+  this->StartHolding({.Token = Token,
+                      .Term = Mine.Term,
+                      .Before = Before,
+                      .ClaimSentAt = SentAt});
+}
+
+Async<void> OwnershipKeeper::release() {
+  this->Releasing = true;
+  if (!this->Held || this->Held->lost())
+    co_return;
+  OwnershipRow Given = this->ownRow(this->Term);
+  Given.Released = true;
+  Transaction Change;
+  Change.Expectations.push_back({ownershipKey(), this->RowVersion});
+  Change.Writes.push_back({ownershipKey(), encodeOwnership(Given)});
+  const auto Outcome =
+      co_await this->Parts.Store.transact(std::move(Change), CallLimit);
+  logEvent(LogLevel::Info, "ownership.released",
+           {{"stored", Outcome && Outcome->Applied ? "yes" : "no"}});
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/site/src/store.cpp
@@ -0,0 +1,24 @@
+#include "sardinerill/site/istore.h"
+
+namespace sardinerill::site {
+
+Async<Result<RowPage>> readAll(IStore &Store, RowRange Range, Duration Limit) {
+  RowPage Whole;
+  bool IsFirst = true;
+  for (bool More = true; More;) {
+    auto Page = co_await Store.read(Range, Limit);
+    if (!Page)
+      co_return tl::unexpected(Page.error());
+    // Changes since the first page may be missing: they are looked up again.
+    if (std::exchange(IsFirst, false))
+      Whole.NewestVersion = Page->NewestVersion;
+    More = Page->More && !Page->Rows.empty();
+    if (More) // The smallest key behind the last one.
+      Range.From = Page->Rows.back().Where.Key + std::string(1, '!');
+    for (Row &Read : Page->Rows)
+      Whole.Rows.push_back(std::move(Read));
+  }
+  co_return Whole;
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/site/src/unixtime.cpp
@@ -0,0 +1,24 @@
+#include "unixtime.h"
+
+#include <chrono>
+
+namespace sardinerill::site {
+
+std::int64_t unixMillis() {
+  using std::chrono::system_clock;
+  const BootClock Clock;
+  static const Instant StartedAt = Clock.now();
+  static const std::int64_t StartedMs =
+      std::chrono::duration_cast<milliseconds>(
+          system_clock::now().time_since_epoch())
+          .count();
+  return StartedMs +
+         std::chrono::duration_cast<milliseconds>(Clock.now() - StartedAt)
+             .count();
+}
+
+RowKey epochKey() { return {"ownership", "p", "epoch"}; }
+
+RowKey ownershipKey() { return {"ownership", "p", "site"}; }
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/site/src/upstreamlink.cpp
@@ -0,0 +1,219 @@
+#include "upstreamlink.h"
+
+#include "sardinerill/base/logging.h"
+
+#include <algorithm>
+
+namespace sardinerill::site {
+
+namespace {
+
+/// Longest wait of an upstream for an end; at most 2 s on the wire, and short
+/// enough that a silent connection shows well within a lease.
+constexpr milliseconds HoldWait{1000};
+/// Added to the wait for the answer itself.
+constexpr milliseconds AnswerAllowance{600};
+/// Time limit of a first question, which waits for nothing.
+constexpr milliseconds FirstLimit{500};
+/// Time limits of orders; an upstream answers within a few milliseconds.
+constexpr milliseconds StartLimit{600};
+constexpr milliseconds StopLimit{800};
+constexpr milliseconds PaceLimit{600};
+/// Pause between questions to an upstream that does not answer.
+constexpr milliseconds SilentPause{250};
+constexpr milliseconds StopRetryPause{150};
+/// After this many unanswered questions the lease is no longer prolonged, so
+/// that it certainly runs out.
+constexpr int QuestionsBeforeLapse = 2;
+/// An upstream's clock may run this much slower than ours.
+constexpr double SlowClock = 0.98;
+/// Share of the longest lease that is asked for: covers fast clocks.
+constexpr double LeaseShare = 0.97;
+constexpr milliseconds LapseMargin{300};
+
+} // namespace
+
+UpstreamLink::UpstreamLink(std::shared_ptr<LinkContext> Context,
+                           UpstreamReport Report,
+                           std::unique_ptr<IUpstreamClient> Client)
+    : Context(std::move(Context)), Report(std::move(Report)),
+      Client(std::move(Client)) {
+  this->LastSentAt = this->Context->Clock.now();
+}
+
+void UpstreamLink::run() {
+  spawn(this->Context->Executor, "upstream-hold",
+        [Self = this->shared_from_this()] { return Self->holdLoop(); });
+}
+
+bool UpstreamLink::active() const {
+  return !this->Closed && !this->Context->Stopped;
+}
+
+std::int64_t UpstreamLink::leaseUntil(Instant Now) const {
+  const Duration Lease = Duration(std::int64_t(
+      LeaseShare * double(this->Context->Bounds.LongestHold.count())));
+  return this->ClockMs + std::chrono::duration_cast<milliseconds>(
+                             Now - this->ClockReadAt + Lease)
+                             .count();
+}
+
+bool UpstreamLink::leaseHasRunOut(Instant Now) const {
+  if (!this->ClockKnown)
+    return Now - this->LastSentAt >
+           this->Context->Bounds.LongestHold * 51 / 50 + LapseMargin;
+  const double Passed =
+      SlowClock * double((Now - this->ClockReadAt - LapseMargin).count());
+  return double(this->ClockMs) + Passed / 1000 > double(this->LongestLeaseMs);
+}
+
+void UpstreamLink::lose(std::string_view Reason) {
+  this->Closed = true;
+  this->Context->Plan.loseUpstream(this->Report.Id, Reason,
+                                   this->Context->Clock.now());
+  this->Context->Decide.notify();
+}
+
+void UpstreamLink::take(const HoldAnswer &Answer, Instant SentAt) {
+  const Instant Now = this->Context->Clock.now();
+  switch (Answer.Outcome) {
+  case HoldOutcome::Answered: {
+    const std::int64_t Born = Answer.Listing.BornMs;
+    if (Born && this->Report.BornMs && Born != this->Report.BornMs) {
+      this->lose("another life answers under its id");
+      return;
+    }
+    this->Report.BornMs = Born ? Born : this->Report.BornMs;
+    this->Unanswered = 0;
+    this->ClockKnown = true;
+    this->ClockMs = Answer.Listing.ClockMs;
+    this->ClockReadAt = Now;
+    this->Context->Plan.listRuns(this->Report.Id, Answer.Listing, SentAt, Now);
+    this->Context->Decide.notify();
+    return;
+  }
+  case HoldOutcome::Superseded:
+    logEvent(LogLevel::Warning, "ownership.superseded",
+             {{"upstream", this->Report.Id.str()},
+              {"token", std::to_string(this->Context->Ownership.token())}});
+    this->Context->Ownership.superseded();
+    return;
+  case HoldOutcome::WrongLife:
+    this->lose("another life answers at its address");
+    return;
+  case HoldOutcome::Dead:
+    this->lose("nothing listens at its address");
+    return;
+  case HoldOutcome::NoAnswer:
+    ++this->Unanswered;
+    if (this->Unanswered == QuestionsBeforeLapse)
+      logEvent(LogLevel::Warning, "upstream.silent",
+               {{"upstream", this->Report.Id.str()},
+                {"pool", this->Report.Pool.str()}});
+    if (this->Unanswered >= QuestionsBeforeLapse && this->leaseHasRunOut(Now))
+      this->lose("silent until its lease ran out");
+    return;
+  }
+}
+
+Async<void> UpstreamLink::holdLoop() {
+  while (this->active()) {
+    const Instant SentAt = this->Context->Clock.now();
+    if (!this->Context->Ownership.mayOrder(SentAt)) {
+      co_await pauseFor(SilentPause);
+      continue;
+    }
+    HoldQuestion Question{
+        .Token = this->Context->Ownership.token(),
+        .Acknowledged = this->Context->Plan.acknowledged(this->Report.Id)};
+    const bool Settled = this->ClockKnown && this->Unanswered == 0;
+    if (this->ClockKnown && this->Unanswered < QuestionsBeforeLapse) {
+      Question.LeaseUntilMs = this->leaseUntil(SentAt);
+      this->LongestLeaseMs =
+          std::max(this->LongestLeaseMs, *Question.LeaseUntilMs);
+      this->LastSentAt = SentAt;
+    }
+    if (Settled)
+      Question.Wait = HoldWait;
+    const Duration Limit = Settled ? HoldWait + AnswerAllowance : FirstLimit;
+    const HoldAnswer Answer =
+        co_await this->Client->hold(std::move(Question), Limit);
+    if (!this->active())
+      co_return;
+    this->take(Answer, SentAt);
+    if (this->Unanswered > 0 && this->active())
+      co_await pauseFor(SilentPause);
+  }
+}
+
+void UpstreamLink::send(StartOrder Order) {
+  spawn(this->Context->Executor, "upstream-start",
+        [Self = this->shared_from_this(), Order = std::move(Order)] {
+          return Self->startOne(Order);
+        });
+}
+
+void UpstreamLink::send(StopOrder Order) {
+  spawn(this->Context->Executor, "upstream-stop",
+        [Self = this->shared_from_this(), Order = std::move(Order)] {
+          return Self->stopOne(Order);
+        });
+}
+
+void UpstreamLink::send(PaceOrder Order) {
+  spawn(this->Context->Executor, "upstream-pace",
+        [Self = this->shared_from_this(), Order = std::move(Order)] {
+          return Self->paceOne(Order);
+        });
+}
+
+Async<void> UpstreamLink::startOne(StartOrder Order) {
+  const Instant Now = this->Context->Clock.now();
+  StartOutcome Outcome = StartOutcome::Refused; // Nothing was sent.
+  const RunId Run = Order.Run;
+  if (this->active() && this->Context->Ownership.mayOrder(Now) &&
+      this->ClockKnown) {
+    const std::int64_t Until = this->leaseUntil(Now);
+    this->LongestLeaseMs = std::max(this->LongestLeaseMs, Until);
+    this->LastSentAt = Now;
+    Outcome = co_await this->Client->start(
+        std::move(Order), this->Context->Ownership.token(), Until, StartLimit);
+  }
+  if (this->Context->Stopped)
+    co_return;
+  if (Outcome == StartOutcome::Superseded)
+    this->Context->Ownership.superseded();
+  this->Context->Plan.startAnswered(this->Report.Id, Run, Outcome,
+                                    this->Context->Clock.now());
+  if (Outcome != StartOutcome::Accepted)
+    this->Context->Decide.notify();
+}
+
+Async<void> UpstreamLink::stopOne(StopOrder Order) {
+  while (this->active()) {
+    if (!this->Context->Ownership.mayOrder(this->Context->Clock.now()))
+      co_return;
+    const StopOutcome Outcome = co_await this->Client->stop(
+        Order, this->Context->Ownership.token(), StopLimit);
+    if (!this->active())
+      co_return;
+    this->Context->Plan.stopAnswered(this->Report.Id, Order.Run, Outcome,
+                                     this->Context->Clock.now());
+    if (Outcome != StopOutcome::Unknown)
+      co_return;
+    co_await pauseFor(StopRetryPause);
+  }
+}
+
+Async<void> UpstreamLink::paceOne(PaceOrder Order) {
+  if (!this->active() ||
+      !this->Context->Ownership.mayOrder(this->Context->Clock.now()))
+    co_return;
+  const bool Taken = co_await this->Client->pace(
+      Order, this->Context->Ownership.token(), PaceLimit);
+  if (!Taken)
+    logEvent(LogLevel::Debug, "run.pace_failed",
+             {{"upstream", this->Report.Id.str()}});
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/site/src/upstreamlink.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "async.h"
+
+#include "sardinerill/ownership/ownership.h"
+#include "sardinerill/scheduling/scheduler.h"
+#include "sardinerill/site/iupstreamclient.h"
+
+/// \file
+/// The way to one life of an upstream: its lease, its listing, its orders.
+
+namespace sardinerill::site {
+
+/// What a link needs of the holder it belongs to. Outlives all its links.
+struct LinkContext {
+  boost::asio::any_io_executor Executor;
+  const IClock &Clock;
+  Scheduler &Plan;
+  HeldOwnership &Ownership;
+  Signal &Decide; ///< Notified when the scheduler has news.
+  const SiteBounds &Bounds;
+  bool Stopped = false;
+};
+
+class UpstreamLink : public std::enable_shared_from_this<UpstreamLink> {
+public:
+  UpstreamLink(std::shared_ptr<LinkContext> Context, UpstreamReport Report,
+               std::unique_ptr<IUpstreamClient> Client);
+
+  /// Holds the lease and takes in listings until the link is closed.
+  void run();
+  void close() { this->Closed = true; }
+  bool closed() const { return this->Closed; }
+  const UpstreamReport &report() const { return this->Report; }
+  void send(StartOrder Order);
+  void send(StopOrder Order);
+  void send(PaceOrder Order);
+
+private:
+  Async<void> holdLoop();
+  Async<void> startOne(StartOrder Order);
+  Async<void> stopOne(StopOrder Order);
+  Async<void> paceOne(PaceOrder Order);
+  void take(const HoldAnswer &Answer, Instant SentAt);
+  bool active() const;
+  /// \returns until when a lease sent now may reach, on the upstream's clock.
+  std::int64_t leaseUntil(Instant Now) const;
+  /// \returns whether every lease that was ever sent has run out.
+  bool leaseHasRunOut(Instant Now) const;
+  void lose(std::string_view Reason);
+
+  std::shared_ptr<LinkContext> Context;
+  UpstreamReport Report;
+  std::unique_ptr<IUpstreamClient> Client;
+  bool Closed = false;
+  bool ClockKnown = false;
+  std::int64_t ClockMs = 0; ///< Of the upstream, as of ClockReadAt.
+  Instant ClockReadAt{};
+  std::int64_t LongestLeaseMs = 0; ///< Sent so far, on the upstream's clock.
+  Instant LastSentAt{};
+  int Unanswered = 0; ///< Questions in a row without an answer.
+};
+
+} // namespace sardinerill::site
