Maintenance waves: pools in their trough first, empty VMs down, budgets kept

Change: planWave, pure, chooses what to prepare and take down; VmKeeper carries it out. Lives end by lease or by another life only; failed attempts are kept by run number; holds wait until the listed ends are stored.

--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -38,6 +38,8 @@
   Duration Renewal = milliseconds(500);
   /// A row unchanged for this long, through answered reads, may be claimed.
   Duration Silence = milliseconds(2000);
+  /// The same where the holder's address refuses connections.
+  Duration SilenceIfRefused = milliseconds(1100);
   /// Longest gap between two answered reads that still prove silence.
   Duration ReadGap = milliseconds(1200);
 };
@@ -58,8 +60,10 @@
                Instant AnsweredAt);
   /// There is no row yet.
   void observeAbsent();
-  /// Another process answers at the holder's address, or none does.
+  /// Another process answers in the place of the holder.
   void holderIsGone(const std::string &Incarnation);
+  /// Whether the holder's address refuses connections. It may be cut off.
+  void holderRefuses(bool Refuses) { this->Refuses = Refuses; }
 
   /// \returns whether the row may be claimed now.
   bool mayClaim() const;
@@ -75,6 +79,7 @@
   std::int64_t Version = 0;
   bool Known = false;
   bool Gone = false;
+  bool Refuses = false;
   Instant UnchangedSince{};
   Instant LastAskedAt{};
   Instant LastAnsweredAt{};
--- a/packages/ownership/src/ownership.cpp
+++ b/packages/ownership/src/ownership.cpp
@@ -38,7 +38,7 @@
   if (Changed || Gap)
     this->UnchangedSince = AnsweredAt;
   if (Changed && this->Row.Incarnation != SeenRow.Incarnation)
-    this->Gone = false;
+    this->Gone = this->Refuses = false;
   this->Known = true;
   this->Version = Seen;
   this->Row = SeenRow;
@@ -64,7 +64,9 @@
     return true;
   // Counted to when the question was sent: the answer may have been on its way
   // for long.
-  return this->LastAskedAt - this->UnchangedSince >= this->Times.Silence;
+  const Duration Silence =
+      this->Refuses ? this->Times.SilenceIfRefused : this->Times.Silence;
+  return this->LastAskedAt - this->UnchangedSince >= Silence;
 }
 
 Predecessor OwnershipWatch::predecessor() const {
--- a/packages/scheduling/include/sardinerill/scheduling/jobprogress.h
+++ b/packages/scheduling/include/sardinerill/scheduling/jobprogress.h
@@ -11,7 +11,9 @@
 /// What is kept of one task beyond its being done.
 struct TaskProgress {
   bool Done = false;
-  int Failures = 0;
+  /// Numbers of the runs that failed; upstreams list an end again until it is
+  /// acknowledged, also to the next holder.
+  std::vector<int> FailedRuns;
   int LastNumber = 0;
   friend bool operator==(const TaskProgress &, const TaskProgress &) = default;
 };
--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -30,9 +30,9 @@
   std::string Text;
 };
 
-/// Jobs of one queue that are accepted and have not started.
-struct QueueCounts {
-  int Pending = 0;
+struct UpstreamLoad {
+  int Runs = 0;
+  Resources Used;
 };
 
 /// One pool as the planner of VMs sees it.
@@ -71,6 +71,10 @@
   void unlistUpstream(const UpstreamId &Id, Instant Now);
   /// Nothing of this life runs any more.
   void loseUpstream(const UpstreamId &Id, std::string_view Reason, Instant Now);
+  /// The same, and later reports of this life are ignored: it was ended.
+  void retireUpstream(const UpstreamId &Id, std::string_view Reason,
+                      Instant Now);
+  UpstreamLoad loadOf(const UpstreamId &Id) const;
   /// Takes in what an upstream lists.
   /// \param SentAt when the question was sent.
   void listRuns(const UpstreamId &Id, const RunListing &Listing, Instant SentAt,
@@ -103,7 +107,7 @@
   const std::map<UpstreamId, std::unique_ptr<UpstreamRecord>> &
   upstreams() const;
   const std::map<JobId, std::unique_ptr<JobRecord>> &jobs() const;
-  std::map<PoolId, PoolDemand> demand(std::int64_t UnixMs) const;
+  std::map<PoolId, PoolDemand> demand() const;
   /// Stops the tasks that last on \p Id whose budgets allow it, to be started
   /// elsewhere. \returns how many such tasks are left there.
   int evacuate(const UpstreamId &Id, Instant Now);
--- a/packages/scheduling/src/jobgraph.cpp
+++ b/packages/scheduling/src/jobgraph.cpp
@@ -16,7 +16,7 @@
       if (Index < 0 || Index >= int(Into.Tasks.size()))
         continue;
       TaskRecord &Kept = Into.Tasks[Index];
-      Kept.Failures = Task.Failures;
+      Kept.FailedRuns = Task.FailedRuns;
       Kept.LastNumber = Task.LastNumber;
       if (Task.Done && !Kept.Done) {
         Kept.Done = true;
@@ -115,9 +115,9 @@
       for (std::size_t Index = 0; Index < Occurrence.Steps[Step].Tasks.size();
            ++Index) {
         const TaskRecord &Task = Occurrence.Steps[Step].Tasks[Index];
-        if (Task.Done || Task.Failures > 0)
+        if (Task.Done || !Task.FailedRuns.empty())
           Progress.Tasks[Number][int(Step)][int(Index)] = {
-              Task.Done, Task.Failures, Task.LastNumber};
+              Task.Done, Task.FailedRuns, Task.LastNumber};
       }
   return Progress;
 }
--- a/packages/scheduling/src/jobprogress.cpp
+++ b/packages/scheduling/src/jobprogress.cpp
@@ -82,7 +82,7 @@
     for (const auto &[Step, Tasks] : Steps)
       for (const auto &[Index, Task] : Tasks)
         Rows.push_back({Occurrence, Step, Index, Task.Done ? 1 : 0,
-                        Task.Failures, Task.LastNumber});
+                        Task.FailedRuns, Task.LastNumber});
   return json{{"state", static_cast<int>(Progress.State)}, {"tasks", Rows}}
       .dump();
 }
@@ -97,7 +97,7 @@
     Progress.State = static_cast<JobState>(State);
     for (const json &Row : Read.at("tasks"))
       Progress.Tasks[Row.at(0)][Row.at(1)][Row.at(2)] = {.Done = Row.at(3) == 1,
-                                                         .Failures = Row.at(4),
+                                                         .FailedRuns = Row.at(4).get<std::vector<int>>(),
                                                          .LastNumber =
                                                              Row.at(5)};
     return Progress;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -152,7 +152,25 @@
   }));
 }
 
+void Scheduler::retireUpstream(const UpstreamId &Id, std::string_view Reason,
+                               Instant Now) {
+  if (const auto Found = this->Inner->Upstreams.find(Id);
+      Found != this->Inner->Upstreams.end())
+    this->Inner->Retired[Id] = Found->second->Report.BornMs;
+  this->loseUpstream(Id, Reason, Now);
+}
+
+UpstreamLoad Scheduler::loadOf(const UpstreamId &Id) const {
+  const auto Found = this->Inner->Upstreams.find(Id);
+  if (Found == this->Inner->Upstreams.end())
+    return {};
+  return {int(Found->second->Runs.size()), Found->second->Used};
+}
+
 void Scheduler::reportUpstream(const UpstreamReport &Report, Instant Now) {
+  if (const auto Ended = this->Inner->Retired.find(Report.Id);
+      Ended != this->Inner->Retired.end() && Report.BornMs <= Ended->second)
+    return;
   auto &Kept = this->Inner->Upstreams[Report.Id];
   if (Kept && Kept->Report.BornMs && Report.BornMs &&
       Kept->Report.BornMs != Report.BornMs) {
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -41,7 +41,7 @@
 
 struct TaskRecord {
   bool Done = false;
-  int Failures = 0;
+  std::vector<int> FailedRuns;
   int LastNumber = 0;
   std::string Checkpoint;
   std::vector<RunPtr> Runs;
--- a/packages/scheduling/src/schedulerplacing.cpp
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -286,7 +286,7 @@
     Record.Tickets[Id] = {Ticket, Now + Validity - TicketMargin};
 }
 
-std::map<PoolId, PoolDemand> Scheduler::demand(std::int64_t) const {
+std::map<PoolId, PoolDemand> Scheduler::demand() const {
   std::map<PoolId, PoolDemand> Demand;
   for (const JobId &Id : this->Inner->LiveJobs) {
     const JobRecord &Job = *this->Inner->Jobs.at(Id);
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -107,17 +107,19 @@
 void Scheduler::State::failTask(JobRecord &Job, const TaskId &Id, int Number,
                                 Instant Now) {
   TaskRecord &Task = *this->task(Id);
-  ++Task.Failures;
+  if (std::ranges::find(Task.FailedRuns, Number) != Task.FailedRuns.end())
+    return; // Counted by an earlier holder.
+  Task.FailedRuns.push_back(Number);
   Task.LastNumber = std::max(Task.LastNumber, Number);
   Task.NotBefore = Now + RetryPause;
   this->changed(Job);
   if (this->spec(Id)->LongRunning)
     return;
   const QueueSettings &Queue = this->settingsOf(Job);
-  if (Task.Failures >= Queue.MaxAttempts && !Task.Done)
+  if (int(Task.FailedRuns.size()) >= Queue.MaxAttempts && !Task.Done)
     this->endJob(Job, JobState::Failed,
                  "task " + describe(Id) + " failed " +
-                     std::to_string(Task.Failures) + " times",
+                     std::to_string(Task.FailedRuns.size()) + " times",
                  Now);
 }
 
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -103,6 +103,7 @@
   std::map<QueueId, LearnedTimes> Learned;
   std::vector<Order> Orders;
   std::set<JobId> ChangedJobs;
+  std::map<UpstreamId, std::int64_t> Retired; ///< Births of ended lives.
   void rebuildPools();
 };
 
--- /dev/null
+++ b/packages/scheduling/src/waveplan.cpp
@@ -0,0 +1,90 @@
+#include "sardinerill/scheduling/waveplan.h"
+
+#include <algorithm>
+
+namespace sardinerill::site {
+
+namespace {
+
+/// Tasks that leave by themselves get this long before they are ended.
+constexpr milliseconds PreparationTime{2500};
+/// Share of a pool's VMs that may be out of service at a time.
+constexpr double MostOutOfPool = 0.34;
+/// A pool gives a VM away while its demand stays under this share of the rest.
+constexpr double DemandShare = 0.9;
+/// Time a VM needs on average from its choice until it is up again, beside the
+/// time that it is down.
+constexpr milliseconds HandlingTime{2500};
+
+/// \returns whether the wave can't be in time unless VMs go now.
+bool isUrgent(const WaveView &View, int Left, Instant Now) {
+  const int Rounds =
+      (Left + std::max(View.MaxAtOnce, 1) - 1) / std::max(View.MaxAtOnce, 1);
+  const Duration Needed = (View.DownTime + HandlingTime) * (Rounds + 1);
+  return Now + Needed >= View.Deadline;
+}
+
+bool poolCanSpare(const WavePool &Pool, std::int64_t CpuMilliOfVm) {
+  const int Whole = Pool.VmsInService + Pool.VmsOutOfService;
+  const int Most = std::max(1, int(double(Whole) * MostOutOfPool));
+  const double Rest = double(Pool.CpuMilli - CpuMilliOfVm);
+  return Pool.VmsOutOfService < Most &&
+         double(Pool.DemandCpuMilli) < DemandShare * Rest;
+}
+
+bool poolMustSpare(const WavePool &Pool) {
+  const int Whole = Pool.VmsInService + Pool.VmsOutOfService;
+  return Pool.VmsOutOfService < std::max(1, Whole / 2);
+}
+
+} // namespace
+
+WaveSteps planWave(const WaveView &View, Instant Now) {
+  WaveSteps Steps;
+  int Away = 0;
+  int Left = 0;
+  for (const WaveVm &Vm : View.Vms) {
+    Away += Vm.Stage == WaveStage::Ordered;
+    Left += Vm.Stage == WaveStage::Waiting || Vm.Stage == WaveStage::Preparing;
+  }
+  int Preparing = 0;
+  for (const WaveVm &Vm : View.Vms) {
+    if (Vm.Stage != WaveStage::Preparing)
+      continue;
+    const bool Empty = Vm.Runs == 0;
+    const bool Waited = Now - Vm.PreparingSince > PreparationTime;
+    if (Away < View.MaxAtOnce && Vm.Up &&
+        (Empty || (Waited && Vm.MayInterrupt))) {
+      Steps.TakeDown.push_back(Vm.Id);
+      ++Away;
+    } else {
+      ++Preparing;
+    }
+  }
+  std::vector<const WaveVm *> Candidates;
+  for (const WaveVm &Vm : View.Vms)
+    if (Vm.Stage == WaveStage::Waiting && Vm.Up)
+      Candidates.push_back(&Vm);
+  std::ranges::stable_sort(Candidates, [](const WaveVm *A, const WaveVm *B) {
+    return std::pair(!A->Standby, A->UsedCpuMilli) <
+           std::pair(!B->Standby, B->UsedCpuMilli);
+  });
+  const bool Urgent = isUrgent(View, Left, Now);
+  std::map<PoolId, WavePool> Pools = View.Pools;
+  for (const WaveVm *Vm : Candidates) {
+    if (Away + Preparing >= View.MaxAtOnce)
+      break;
+    WavePool &Pool = Pools[Vm->Pool];
+    if (!Vm->Standby && !poolCanSpare(Pool, View.CpuMilliOfVm) &&
+        !(Urgent && poolMustSpare(Pool)))
+      continue;
+    Steps.Prepare.push_back(Vm->Id);
+    ++Preparing;
+    --Pool.VmsInService;
+    ++Pool.VmsOutOfService;
+    Pool.CpuMilli -= View.CpuMilliOfVm;
+  }
+  return Steps;
+}
+
+} // namespace sardinerill::site
--- a/packages/site/include/sardinerill/site/iupstreamclient.h
+++ b/packages/site/include/sardinerill/site/iupstreamclient.h
@@ -16,7 +16,7 @@
   Answered,
   Superseded, ///< A newer token is in force.
   WrongLife,  ///< Another life answers at the address.
-  Dead,       ///< Nothing listens at the address.
+  Refused,    ///< The connection was refused, by the upstream or on the way.
   NoAnswer,
 };
 
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -59,6 +59,7 @@
               .Settings = Parts.Settings,
               .Plan = this->Plan,
               .Ownership = this->Ownership,
+              .Decide = this->Decide,
               .Figures = Parts.Figures},
              From.Before == Predecessor::MayOrder
                  ? From.ClaimSentAt + Times.Lease
@@ -191,6 +192,8 @@
     Seen.insert(Report.Id);
     this->MissingSince.erase(Report.Id);
     this->Plan.reportUpstream(Report, Now);
+    if (!this->Plan.upstreams().contains(Report.Id))
+      continue; // A life that has ended.
     auto &Link = this->Links[Report.Id];
     const bool Other = Link && (Link->report().Address != Report.Address ||
                                 (Report.BornMs && Link->report().BornMs &&
--- a/packages/site/src/ownershipkeeper.cpp
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -94,7 +94,8 @@
       co_await this->HolderDoor->call(aliveRequest(), ProbeLimit);
   const bool Refused = !Answer && Answer.error() == HttpFault::Refused;
   const bool Other = Answer && Answer->Status == 200 && Answer->Body != Asked;
-  if (Refused || Other)
+  this->Watch.holderRefuses(Refused);
+  if (Other)
     this->Watch.holderIsGone(Asked);
 }
 
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -22,12 +22,19 @@
 /// Pause between questions to an upstream that does not answer.
 constexpr milliseconds SilentPause{250};
 constexpr milliseconds StopRetryPause{150};
+/// Longest wait until ends are stored, and the time between two looks.
+constexpr milliseconds StoreWait{250};
+constexpr milliseconds StorePoll{8};
 /// After this many unanswered questions the lease is no longer prolonged, so
 /// that it certainly runs out.
 constexpr int QuestionsBeforeLapse = 2;
 /// An upstream's clock may run this much slower than ours.
 constexpr double SlowClock = 0.98;
-/// Share of the longest lease that is asked for: covers fast clocks.
+/// Lease that is asked for: long enough for another daemon to take over (about
+/// 2.5 s) between two questions, short enough to start tasks of a dead
+/// upstream again soon.
+constexpr milliseconds LeaseTime{4200};
+/// Longest share of the longest lease: covers fast clocks.
 constexpr double LeaseShare = 0.97;
 constexpr milliseconds LapseMargin{300};
 
@@ -51,8 +58,9 @@
 }
 
 std::int64_t UpstreamLink::leaseUntil(Instant Now) const {
-  const Duration Lease = Duration(std::int64_t(
+  const Duration Longest = Duration(std::int64_t(
       LeaseShare * double(this->Context->Bounds.LongestHold.count())));
+  const Duration Lease = std::min<Duration>(Longest, LeaseTime);
   return this->ClockMs + std::chrono::duration_cast<milliseconds>(
                              Now - this->ClockReadAt + Lease)
                              .count();
@@ -101,9 +109,7 @@
   case HoldOutcome::WrongLife:
     this->lose("another life answers at its address");
     return;
-  case HoldOutcome::Dead:
-    this->lose("nothing listens at its address");
-    return;
+  case HoldOutcome::Refused: // A cut can look like this: no proof of an end.
   case HoldOutcome::NoAnswer:
     ++this->Unanswered;
     if (this->Unanswered == QuestionsBeforeLapse)
@@ -141,11 +147,23 @@
     if (!this->active())
       co_return;
     this->take(Answer, SentAt);
-    if (this->Unanswered > 0 && this->active())
+    if (!this->active())
+      co_return;
+    if (this->Unanswered > 0)
       co_await pauseFor(SilentPause);
+    else if (!Answer.Listing.Ended.empty())
+      co_await this->waitUntilStored(Answer.Listing.Ended.back().Sequence);
   }
 }
 
+Async<void> UpstreamLink::waitUntilStored(std::int64_t Sequence) {
+  // An upstream does not wait while it lists ends that are not acknowledged.
+  const Instant Until = this->Context->Clock.now() + StoreWait;
+  while (this->active() && this->Context->Clock.now() < Until &&
+         this->Context->Plan.acknowledged(this->Report.Id) < Sequence)
+    co_await pauseFor(StorePoll);
+}
+
 void UpstreamLink::send(StartOrder Order) {
   spawn(this->Context->Executor, "upstream-start",
         [Self = this->shared_from_this(), Order = std::move(Order)] {
--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -38,6 +38,7 @@
 
 private:
   Async<void> holdLoop();
+  Async<void> waitUntilStored(std::int64_t Sequence);
   Async<void> startOne(StartOrder Order);
   Async<void> stopOne(StopOrder Order);
   Async<void> paceOne(PaceOrder Order);
--- a/packages/site/src/vmkeeper.cpp
+++ b/packages/site/src/vmkeeper.cpp
@@ -1,9 +1,253 @@
 #include "vmkeeper.h"
 
+#include "sardinerill/base/logging.h"
+
+#include <algorithm>
+
 namespace sardinerill::site {
 
-void VmKeeper::addWaves(const std::vector<MaintenanceWave> &) {}
+namespace {
+
+/// Time between two looks at the VMs while there is something to do.
+constexpr milliseconds LookInterval{300};
+constexpr milliseconds IdleInterval{300};
+constexpr milliseconds ListLimit{1500};
+constexpr milliseconds OrderLimit{1500};
+constexpr milliseconds AnnounceLimit{900};
+/// A VM that was told to go down is seen away within this time.
+constexpr milliseconds SeenAwayLimit{1200};
+
+} // namespace
+
+void VmKeeper::addWaves(const std::vector<MaintenanceWave> &Added) {
+  for (const MaintenanceWave &Wave : Added) {
+    WaveProgress &Kept = this->Waves[Wave.Number];
+    if (Kept.Wave.Number != Wave.Number) {
+      Kept.FirstSeen = this->Parts.Clock.now();
+      logEvent(LogLevel::Info, "wave.seen",
+               {{"wave", std::to_string(Wave.Number)},
+                {"vms", std::to_string(Wave.Vms.size())},
+                {"at_once", std::to_string(Wave.MaxAtOnce)}});
+    }
+    Kept.Wave = Wave;
+    for (const VmId &Vm : Wave.Vms)
+      Kept.Vms.try_emplace(Vm);
+  }
+}
+
+const VmRecord *VmKeeper::record(const VmId &Vm) const {
+  const auto Found = std::ranges::find(this->Vms, Vm, &VmRecord::Id);
+  return Found == this->Vms.end() ? nullptr : &*Found;
+}
+
+bool VmKeeper::isStandby(const PoolId &Pool) const {
+  const auto Found = this->Configuration.Pools.find(Pool);
+  return Found != this->Configuration.Pools.end() && Found->second.Standby;
+}
+
+bool VmKeeper::hasOpenWave() const {
+  return std::ranges::any_of(this->Waves, [](const auto &Entry) {
+    return !Entry.second.Completed;
+  });
+}
+
+Async<void> VmKeeper::run() {
+  while (!this->Stopped) {
+    const Instant Now = this->Parts.Clock.now();
+    const bool Quiet = Now < this->QuietUntil;
+    if (Quiet || !this->hasOpenWave() || !this->Parts.Ownership.mayOrder(Now)) {
+      co_await pauseFor(IdleInterval);
+      continue;
+    }
+    co_await this->look();
+    co_await pauseFor(LookInterval);
+  }
+}
+
+Async<void> VmKeeper::look() {
+  auto Listed = co_await this->Parts.Vms.list(ListLimit);
+  if (this->Stopped)
+    co_return;
+  if (!Listed) {
+    this->Parts.Figures.count("vm_lists_failed_total");
+    co_return;
+  }
+  this->Vms = std::move(*Listed);
+  for (auto &[Number, Wave] : this->Waves) {
+    if (Wave.Completed)
+      continue;
+    this->refresh(Wave);
+    co_await this->advance(Wave);
+    if (this->Stopped)
+      co_return;
+  }
+}
+
+void VmKeeper::refresh(WaveProgress &Wave) {
+  const Instant Now = this->Parts.Clock.now();
+  for (auto &[Id, Progress] : Wave.Vms) {
+    const VmRecord *Vm = this->record(Id);
+    if (!Vm) {
+      Progress.Stage = WaveStage::Done; // It was taken away for good.
+      continue;
+    }
+    if (Progress.Stage != WaveStage::Ordered)
+      continue;
+    if (Vm->State != VmState::Up)
+      Progress.SeenAway = true;
+    const bool Overdue = Now - Progress.Since > SeenAwayLimit;
+    if (Progress.Answered && Vm->State == VmState::Up &&
+        (Progress.SeenAway || Overdue))
+      Progress.Stage = WaveStage::Done;
+  }
+}
+
+std::map<PoolId, WavePool> VmKeeper::poolsNow() const {
+  std::map<PoolId, WavePool> Pools;
+  for (const VmRecord &Vm : this->Vms) {
+    WavePool &Pool = Pools[Vm.Pool];
+    const bool Leaving =
+        std::ranges::any_of(this->Waves, [&](const auto &Entry) {
+          const auto Found = Entry.second.Vms.find(Vm.Id);
+          return Found != Entry.second.Vms.end() &&
+                 Found->second.Stage == WaveStage::Preparing;
+        });
+    if (Vm.State == VmState::Up && !Leaving) {
+      Pool.CpuMilli += Vm.Capacity.CpuMilli;
+      ++Pool.VmsInService;
+    } else {
+      ++Pool.VmsOutOfService;
+    }
+  }
+  for (const auto &[Id, Demand] : this->Parts.Plan.demand())
+    Pools[Id].DemandCpuMilli = Demand.CpuMilli;
+  return Pools;
+}
+
+WaveView VmKeeper::viewOf(const WaveProgress &Wave) const {
+  const Instant Now = this->Parts.Clock.now();
+  WaveView View{.Pools = this->poolsNow(),
+                .MaxAtOnce = Wave.Wave.MaxAtOnce,
+                .Deadline = Wave.FirstSeen + Wave.Wave.Period};
+  for (const auto &[Id, Progress] : Wave.Vms) {
+    const VmRecord *Vm = this->record(Id);
+    if (!Vm)
+      continue;
+    View.CpuMilliOfVm = std::max(View.CpuMilliOfVm, Vm->Capacity.CpuMilli);
+    const UpstreamLoad Load = this->Parts.Plan.loadOf(Vm->Upstream);
+    View.Vms.push_back(
+        {.Id = Id,
+         .Pool = Vm->Pool,
+         .Stage = Progress.Stage,
+         .Up = Vm->State == VmState::Up,
+         .Standby = this->isStandby(Vm->Pool),
+         .Runs = Load.Runs,
+         .MayInterrupt = this->Parts.Plan.mayInterrupt(Vm->Upstream, Now),
+         .UsedCpuMilli = Load.Used.CpuMilli,
+         .PreparingSince = Progress.Since});
+  }
+  return View;
+}
+
+Async<void> VmKeeper::advance(WaveProgress &Wave) {
+  if (!Wave.Announced)
+    co_await this->announce(Wave, false);
+  const Instant Now = this->Parts.Clock.now();
+  const WaveSteps Steps = planWave(this->viewOf(Wave), Now);
+  for (const VmId &Id : Steps.Prepare) {
+    Wave.Vms[Id].Stage = WaveStage::Preparing;
+    Wave.Vms[Id].Since = Now;
+    if (const VmRecord *Vm = this->record(Id))
+      this->Parts.Plan.cordon(Vm->Upstream, true);
+    logEvent(LogLevel::Info, "wave.prepare",
+             {{"wave", std::to_string(Wave.Wave.Number)}, {"vm", Id.str()}});
+  }
+  for (const auto &[Id, Progress] : Wave.Vms)
+    if (Progress.Stage == WaveStage::Preparing)
+      if (const VmRecord *Vm = this->record(Id))
+        this->Parts.Plan.evacuate(Vm->Upstream, Now);
+  this->Parts.Decide.notify();
+  for (const VmId &Id : Steps.TakeDown) {
+    co_await this->takeDown(Wave, Id);
+    if (this->Stopped)
+      co_return;
+  }
+  // An order without an answer is repeated: it is carried out only once.
+  std::vector<VmId> Unanswered;
+  for (const auto &[Id, Progress] : Wave.Vms)
+    if (Progress.Stage == WaveStage::Ordered && !Progress.Answered)
+      Unanswered.push_back(Id);
+  for (const VmId &Id : Unanswered) {
+    co_await this->takeDown(Wave, Id);
+    if (this->Stopped)
+      co_return;
+  }
+  const bool AllDone = std::ranges::all_of(Wave.Vms, [](const auto &Entry) {
+    return Entry.second.Stage == WaveStage::Done;
+  });
+  if (AllDone)
+    co_await this->announce(Wave, true);
+}
+
+Async<void> VmKeeper::takeDown(WaveProgress &Wave, VmId Id) {
+  const VmRecord *Vm = this->record(Id);
+  if (!Vm || !this->Parts.Ownership.mayOrder(this->Parts.Clock.now()))
+    co_return;
+  const UpstreamId Upstream = Vm->Upstream;
+  VmProgress &Progress = Wave.Vms[Id];
+  const bool Repeated = Progress.Stage == WaveStage::Ordered;
+  if (!Repeated) {
+    const bool MayEnd =
+        this->Parts.Plan.mayInterrupt(Upstream, this->Parts.Clock.now());
+    if (!MayEnd)
+      co_return;
+    Progress.Stage = WaveStage::Ordered;
+    Progress.Since = this->Parts.Clock.now();
+    Progress.SeenAway = false;
+  }
+  VmOrderSource Source{this->Parts.Settings.Name,
+                       this->Parts.Ownership.token()};
+  const VmOrderOutcome Outcome = co_await this->Parts.Vms.maintain(
+      Id, Wave.Wave.Number, std::move(Source), OrderLimit);
+  if (this->Stopped)
+    co_return;
+  logEvent(LogLevel::Info, "wave.take_down",
+           {{"wave", std::to_string(Wave.Wave.Number)},
+            {"vm", Id.str()},
+            {"outcome", std::to_string(static_cast<int>(Outcome))}});
+  switch (Outcome) {
+  case VmOrderOutcome::Accepted:
+    Progress.Answered = true;
+    if (!Repeated)
+      this->Parts.Plan.retireUpstream(Upstream, "its VM went down",
+                                      this->Parts.Clock.now());
+    this->Parts.Decide.notify();
+    co_return;
+  case VmOrderOutcome::Busy:
+  case VmOrderOutcome::NotDone:
+    if (!Repeated) // Certainly not begun: it is chosen again later.
+      Progress.Stage = WaveStage::Preparing;
+    co_return;
+  case VmOrderOutcome::Rejected:
+    Progress.Stage = WaveStage::Done; // No VM of this wave.
+    this->Parts.Plan.cordon(Upstream, false);
+    co_return;
+  case VmOrderOutcome::Unknown:
+    co_return;
+  }
+}
 
-Async<void> VmKeeper::run() { co_return; }
+Async<void> VmKeeper::announce(WaveProgress &Wave, bool Completed) {
+  const std::int64_t Number = Wave.Wave.Number;
+  const auto Published = co_await this->Parts.Source.publishWave(
+      Number, Completed, AnnounceLimit);
+  if (!Published)
+    co_return; // Tried again at the next look.
+  Wave.Announced = true;
+  Wave.Completed = Completed;
+  logEvent(LogLevel::Info, "wave.announced",
+           {{"wave", std::to_string(Number)},
+            {"state", Completed ? "completed" : "running"}});
+}
 
 } // namespace sardinerill::site
--- a/packages/site/src/vmkeeper.h
+++ b/packages/site/src/vmkeeper.h
@@ -5,12 +5,15 @@
 #include "sardinerill/base/metrics.h"
 #include "sardinerill/ownership/ownership.h"
 #include "sardinerill/scheduling/scheduler.h"
+#include "sardinerill/scheduling/waveplan.h"
 #include "sardinerill/site/isitesource.h"
 #include "sardinerill/site/ivmcontrol.h"
 #include "sardinerill/site/sitesettings.h"
 
+#include <set>
+
 /// \file
-/// Maintenance waves and moves of VMs between pools.
+/// Carries out maintenance waves and moves of VMs between pools.
 
 namespace sardinerill::site {
 
@@ -22,6 +25,7 @@
   const SiteSettings &Settings;
   Scheduler &Plan;
   HeldOwnership &Ownership;
+  Signal &Decide;
   Metrics &Figures;
 };
 
@@ -37,9 +41,36 @@
   void addWaves(const std::vector<MaintenanceWave> &Waves);
 
 private:
+  struct VmProgress {
+    WaveStage Stage = WaveStage::Waiting;
+    Instant Since{};
+    bool Answered = false;  ///< The order was confirmed.
+    bool SeenAway = false;  ///< The list showed it down since.
+  };
+  struct WaveProgress {
+    MaintenanceWave Wave;
+    Instant FirstSeen{};
+    std::map<VmId, VmProgress> Vms;
+    bool Announced = false;
+    bool Completed = false;
+  };
+
+  Async<void> look();
+  Async<void> advance(WaveProgress &Wave);
+  void refresh(WaveProgress &Wave);
+  WaveView viewOf(const WaveProgress &Wave) const;
+  std::map<PoolId, WavePool> poolsNow() const;
+  Async<void> takeDown(WaveProgress &Wave, VmId Vm);
+  Async<void> announce(WaveProgress &Wave, bool Completed);
+  const VmRecord *record(const VmId &Vm) const;
+  bool isStandby(const PoolId &Pool) const;
+  bool hasOpenWave() const;
+
   VmKeeperParts Parts;
   Instant QuietUntil;
   SiteConfiguration Configuration;
+  std::map<std::int64_t, WaveProgress> Waves;
+  std::vector<VmRecord> Vms;
   bool Stopped = false;
 };
 
