Waves outlive a takeover; budgets count what has not been heard of

Change: the VMs that are done are stored with the holder's epoch; a life is retired once the list shows its VM away; VMs that the list shows in maintenance count; at work means listed so lately.

--- a/packages/scheduling/src/jobprogress.cpp
+++ b/packages/scheduling/src/jobprogress.cpp
@@ -96,10 +96,10 @@
       return makeError(ErrorKind::BadRequest, "unknown state of a job");
     Progress.State = static_cast<JobState>(State);
     for (const json &Row : Read.at("tasks"))
-      Progress.Tasks[Row.at(0)][Row.at(1)][Row.at(2)] = {.Done = Row.at(3) == 1,
-                                                         .FailedRuns = Row.at(4).get<std::vector<int>>(),
-                                                         .LastNumber =
-                                                             Row.at(5)};
+      Progress.Tasks[Row.at(0)][Row.at(1)][Row.at(2)] = {
+          .Done = Row.at(3) == 1,
+          .FailedRuns = Row.at(4).get<std::vector<int>>(),
+          .LastNumber = Row.at(5)};
     return Progress;
   } catch (const json::exception &Fault) {
     return makeError(ErrorKind::BadRequest, Fault.what());
--- a/packages/scheduling/src/schedulercare.cpp
+++ b/packages/scheduling/src/schedulercare.cpp
@@ -21,13 +21,18 @@
 constexpr milliseconds PaceInterval{900};
 /// An upstream whose runs stand still is avoided for this time.
 constexpr seconds AvoidStuckFor{5};
+/// What an upstream listed longer ago proves nothing of its tasks; above the
+/// usual time between two listings (1 s).
+constexpr milliseconds RecentAnswer{1800};
 constexpr int AtWork = 100; ///< Percent of a task that lasts and serves.
 
 } // namespace
 
-bool Scheduler::State::isAtWork(const RunPtr &Candidate) const {
+bool Scheduler::State::isAtWork(const RunPtr &Candidate, Instant Now) const {
+  const auto Where = this->Upstreams.find(Candidate->Where);
   return Candidate->Phase == RunPhase::Active && !Candidate->StopWanted &&
-         Candidate->Percent >= AtWork;
+         Candidate->Percent >= AtWork && Where != this->Upstreams.end() &&
+         Now - Where->second->AnsweredAt < RecentAnswer;
 }
 
 int Scheduler::State::unavailable(const JobRecord &Job, int Occurrence,
@@ -36,10 +41,10 @@
   if (Found == Job.Occurrences.end())
     return 0;
   const StepRecord &Record = Found->second.Steps[std::size_t(Step)];
-  (void)Now;
   return int(std::ranges::count_if(Record.Tasks, [&](const TaskRecord &Task) {
-    return std::ranges::none_of(
-        Task.Runs, [&](const RunPtr &Each) { return this->isAtWork(Each); });
+    return std::ranges::none_of(Task.Runs, [&](const RunPtr &Each) {
+      return this->isAtWork(Each, Now);
+    });
   }));
 }
 
@@ -50,9 +55,13 @@
     return true;
   const JobRecord &Job = *Found->second;
   const StepSpec &Step = Job.Spec.Steps[std::size_t(Candidate->Id.Task.Step)];
-  if (!Step.LongRunning || Step.MaxUnavailable < 0 ||
-      !this->isAtWork(Candidate))
+  if (!Step.LongRunning || Step.MaxUnavailable < 0)
     return true;
+  const auto Where = this->Upstreams.find(Candidate->Where);
+  const bool Known = Where != this->Upstreams.end() &&
+                     Now - Where->second->AnsweredAt < RecentAnswer;
+  if (Known && !this->isAtWork(Candidate, Now))
+    return true; // Not at work: ending it makes nothing worse.
   const int Away = this->unavailable(Job, Candidate->Id.Task.Occurrence,
                                      Candidate->Id.Task.Step, Now);
   return Away + AlsoEnding < Step.MaxUnavailable;
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -88,7 +88,7 @@
   void replaceStuckRuns(Instant Now);
   void paceFillers(UpstreamRecord &On, Instant Now);
   void preemptFor(const WaitingStep &Waiting, Instant Now);
-  bool isAtWork(const RunPtr &Candidate) const;
+  bool isAtWork(const RunPtr &Candidate, Instant Now) const;
   int unavailable(const JobRecord &Job, int Occurrence, int Step,
                   Instant Now) const;
   bool mayInterrupt(const RunPtr &Candidate, Instant Now, int AlsoEnding) const;
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -54,6 +54,7 @@
                       this->Decide, this->Parts.Settings.Bounds})),
       Keeper({.Executor = Parts.Executor,
               .Clock = Parts.Clock,
+              .Store = Parts.Store,
               .Source = Parts.Source,
               .Vms = Parts.Vms,
               .Settings = Parts.Settings,
--- a/packages/site/src/vmkeeper.cpp
+++ b/packages/site/src/vmkeeper.cpp
@@ -1,8 +1,11 @@
 #include "vmkeeper.h"
 
+#include "unixtime.h"
+
 #include "sardinerill/base/logging.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace sardinerill::site {
 
@@ -46,9 +49,8 @@
 }
 
 bool VmKeeper::hasOpenWave() const {
-  return std::ranges::any_of(this->Waves, [](const auto &Entry) {
-    return !Entry.second.Completed;
-  });
+  return std::ranges::any_of(
+      this->Waves, [](const auto &Entry) { return !Entry.second.Completed; });
 }
 
 Async<void> VmKeeper::run() {
@@ -76,7 +78,10 @@
   for (auto &[Number, Wave] : this->Waves) {
     if (Wave.Completed)
       continue;
+    if (!Wave.Loaded && !co_await this->loadDone(Wave))
+      continue;
     this->refresh(Wave);
+    co_await this->storeDone(Wave);
     co_await this->advance(Wave);
     if (this->Stopped)
       co_return;
@@ -91,14 +96,29 @@
       Progress.Stage = WaveStage::Done; // It was taken away for good.
       continue;
     }
+    if (Progress.Stage == WaveStage::Waiting &&
+        Vm->State == VmState::Maintenance) {
+      // Told so by an earlier holder.
+      Progress.Stage = WaveStage::Ordered;
+      Progress.Since = Now;
+    }
     if (Progress.Stage != WaveStage::Ordered)
       continue;
-    if (Vm->State != VmState::Up)
+    const bool OtherLife = !Progress.Upstream.empty() &&
+                           !Vm->Upstream.empty() &&
+                           Vm->Upstream != Progress.Upstream;
+    if (!Progress.SeenAway && (Vm->State != VmState::Up || OtherLife)) {
       Progress.SeenAway = true;
+      this->Parts.Plan.retireUpstream(Progress.Upstream, "its VM went down",
+                                      Now);
+      this->Parts.Decide.notify();
+    }
     const bool Overdue = Now - Progress.Since > SeenAwayLimit;
-    if (Progress.Answered && Vm->State == VmState::Up &&
-        (Progress.SeenAway || Overdue))
-      Progress.Stage = WaveStage::Done;
+    if (!Progress.Answered || Vm->State != VmState::Up ||
+        (!Progress.SeenAway && !Overdue))
+      continue;
+    Progress.Stage = WaveStage::Done;
+    this->Parts.Plan.cordon(Vm->Upstream, false); // Done before, not ended now.
   }
 }
 
@@ -204,6 +224,7 @@
     Progress.Stage = WaveStage::Ordered;
     Progress.Since = this->Parts.Clock.now();
     Progress.SeenAway = false;
+    Progress.Upstream = Upstream;
   }
   VmOrderSource Source{this->Parts.Settings.Name,
                        this->Parts.Ownership.token()};
@@ -217,11 +238,9 @@
             {"outcome", std::to_string(static_cast<int>(Outcome))}});
   switch (Outcome) {
   case VmOrderOutcome::Accepted:
+    // What runs there has ended only if this order took it down: the list
+    // shows that.
     Progress.Answered = true;
-    if (!Repeated)
-      this->Parts.Plan.retireUpstream(Upstream, "its VM went down",
-                                      this->Parts.Clock.now());
-    this->Parts.Decide.notify();
     co_return;
   case VmOrderOutcome::Busy:
   case VmOrderOutcome::NotDone:
@@ -237,10 +256,55 @@
   }
 }
 
+RowKey VmKeeper::doneKey(const WaveProgress &Wave) const {
+  return {"waves", epochKey().Partition, std::to_string(Wave.Wave.Number)};
+}
+
+Async<bool> VmKeeper::loadDone(WaveProgress &Wave) {
+  const RowKey Key = this->doneKey(Wave);
+  RowRange Range{Key.Table, Key.Partition, Key.Key, Key.Key + "!"};
+  const auto Page =
+      co_await this->Parts.Store.read(std::move(Range), ListLimit);
+  if (!Page)
+    co_return false;
+  for (const Row &Read : Page->Rows) {
+    std::istringstream Names(Read.Value);
+    for (std::string Name; std::getline(Names, Name);)
+      if (const auto Found = Wave.Vms.find(VmId(Name));
+          Found != Wave.Vms.end()) {
+        Found->second.Stage = WaveStage::Done;
+        ++Wave.StoredDone;
+      }
+  }
+  Wave.Loaded = true;
+  co_return true;
+}
+
+Async<void> VmKeeper::storeDone(WaveProgress &Wave) {
+  std::string Names;
+  std::size_t Count = 0;
+  for (const auto &[Id, Progress] : Wave.Vms)
+    if (Progress.Stage == WaveStage::Done) {
+      Names += Id.str() + "\n";
+      ++Count;
+    }
+  if (Count == Wave.StoredDone)
+    co_return;
+  Transaction Change;
+  Change.Expectations.push_back({epochKey(), this->Parts.Ownership.token()});
+  Change.Writes.push_back({this->doneKey(Wave), std::move(Names)});
+  const auto Outcome =
+      co_await this->Parts.Store.transact(std::move(Change), ListLimit);
+  if (Outcome && Outcome->Applied)
+    Wave.StoredDone = Count;
+  else if (Outcome)
+    this->Parts.Ownership.superseded();
+}
+
 Async<void> VmKeeper::announce(WaveProgress &Wave, bool Completed) {
   const std::int64_t Number = Wave.Wave.Number;
-  const auto Published = co_await this->Parts.Source.publishWave(
-      Number, Completed, AnnounceLimit);
+  const auto Published =
+      co_await this->Parts.Source.publishWave(Number, Completed, AnnounceLimit);
   if (!Published)
     co_return; // Tried again at the next look.
   Wave.Announced = true;
--- a/packages/site/src/vmkeeper.h
+++ b/packages/site/src/vmkeeper.h
@@ -7,6 +7,7 @@
 #include "sardinerill/scheduling/scheduler.h"
 #include "sardinerill/scheduling/waveplan.h"
 #include "sardinerill/site/isitesource.h"
+#include "sardinerill/site/istore.h"
 #include "sardinerill/site/ivmcontrol.h"
 #include "sardinerill/site/sitesettings.h"
 
@@ -20,6 +21,7 @@
 struct VmKeeperParts {
   boost::asio::any_io_executor Executor;
   const IClock &Clock;
+  IStore &Store;
   ISiteSource &Source;
   ISiteVmControl &Vms;
   const SiteSettings &Settings;
@@ -44,15 +46,18 @@
   struct VmProgress {
     WaveStage Stage = WaveStage::Waiting;
     Instant Since{};
-    bool Answered = false;  ///< The order was confirmed.
-    bool SeenAway = false;  ///< The list showed it down since.
+    bool Answered = false; ///< The order was confirmed.
+    bool SeenAway = false; ///< The list showed it away since.
+    UpstreamId Upstream;   ///< What ran there when it was told to go down.
   };
   struct WaveProgress {
     MaintenanceWave Wave;
     Instant FirstSeen{};
+    bool Loaded = false; ///< What an earlier holder did is known.
     std::map<VmId, VmProgress> Vms;
     bool Announced = false;
     bool Completed = false;
+    std::size_t StoredDone = 0; ///< VMs that are stored as done.
   };
 
   Async<void> look();
@@ -61,10 +66,13 @@
   WaveView viewOf(const WaveProgress &Wave) const;
   std::map<PoolId, WavePool> poolsNow() const;
   Async<void> takeDown(WaveProgress &Wave, VmId Vm);
+  Async<bool> loadDone(WaveProgress &Wave);
+  Async<void> storeDone(WaveProgress &Wave);
   Async<void> announce(WaveProgress &Wave, bool Completed);
   const VmRecord *record(const VmId &Vm) const;
   bool isStandby(const PoolId &Pool) const;
   bool hasOpenWave() const;
+  RowKey doneKey(const WaveProgress &Wave) const;
 
   VmKeeperParts Parts;
   Instant QuietUntil;
