A late transaction can't undo newer progress

Cause: a transaction on progress without an answer was sent again, applied, and followed by newer ones; then the first landed and took a completed job back to running.

Ruled out: paging of the load (670 rows in two pages read whole), stale reads (no compaction near).

Change: each transaction on progress expects and rewrites one head row, so that they apply in order or not at all.

--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -136,6 +136,7 @@
                              : &Progress->second);
     }
     this->JobsVersion = Stored->Version;
+    this->HeadVersion = this->From.Token;
     this->Loaded = true;
   }
   const Duration Took = this->Parts.Clock.now() - Began;
@@ -299,31 +300,48 @@
   }
 }
 
-Async<void> Holder::storeOnce() {
-  std::vector<ProgressChange> Changes = this->Plan.takeProgress();
-  for (std::size_t Done = 0; Done < Changes.size();) {
-    const std::size_t Count = std::min(MostRowsTogether, Changes.size() - Done);
+Async<bool> Holder::storeBatch(std::span<const ProgressChange> Changes) {
+  const std::string Mark = std::to_string(this->From.Token) + ":" +
+                           std::to_string(++this->BatchNumber);
+  while (true) {
     Transaction Batch;
-    // Only the latest holder may store progress.
-    Batch.Expectations.push_back({epochKey(), this->From.Token});
-    for (std::size_t Index = Done; Index < Done + Count; ++Index)
-      Batch.Writes.push_back(
-          {JobTable::progressKey(Changes[Index].Job), Changes[Index].Text});
+    Batch.Expectations.push_back({progressHeadKey(), this->HeadVersion});
+    Batch.Writes.push_back({progressHeadKey(), Mark});
+    for (const ProgressChange &Change : Changes)
+      Batch.Writes.push_back({JobTable::progressKey(Change.Job), Change.Text});
     const auto Outcome =
         co_await this->Parts.Store.transact(std::move(Batch), StoreLimit);
-    if (this->Context->Stopped && !Outcome)
-      co_return;
-    if (!Outcome) {
-      this->Parts.Figures.countRetry(RetryReason::PlatformTimeout);
-      co_await pauseFor(RetryPause);
-      continue;
+    if (Outcome && Outcome->Applied) {
+      this->HeadVersion = Outcome->Version;
+      co_return true;
     }
-    if (!Outcome->Applied) {
+    if (Outcome) {
+      // The same transaction may have been carried out before.
+      for (const Row &Current : Outcome->Conflicts)
+        if (Current.Where == progressHeadKey() && Current.Value == Mark) {
+          this->HeadVersion = Current.Version;
+          co_return true;
+        }
       this->Ownership.superseded();
-      co_return;
+      co_return false;
     }
-    for (std::size_t Index = Done; Index < Done + Count; ++Index)
-      this->Plan.progressStored(Changes[Index].Job, Changes[Index].Revision);
+    if (this->Context->Stopped)
+      co_return false;
+    this->Parts.Figures.countRetry(RetryReason::PlatformTimeout);
+    co_await pauseFor(RetryPause);
+  }
+}
+
+Async<void> Holder::storeOnce() {
+  const std::vector<ProgressChange> Changes = this->Plan.takeProgress();
+  for (std::size_t Done = 0; Done < Changes.size();) {
+    const std::size_t Count =
+        std::min(MostRowsTogether, Changes.size() - Done);
+    const std::span Batch(Changes.data() + Done, Count);
+    if (!co_await this->storeBatch(Batch))
+      co_return;
+    for (const ProgressChange &Stored : Batch)
+      this->Plan.progressStored(Stored.Job, Stored.Revision);
     Done += Count;
   }
 }
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -7,6 +7,8 @@
 #include "sardinerill/site/isitesource.h"
 #include "sardinerill/site/sitesettings.h"
 
+#include <span>
+
 /// \file
 /// What the one daemon does that gives the orders: it follows accepted jobs and
 /// the registry, lets the scheduler decide, carries out its orders and stores
@@ -62,6 +64,7 @@
   Async<void> decideLoop();
   Async<void> storeLoop();
   Async<void> storeOnce();
+  Async<bool> storeBatch(std::span<const ProgressChange> Changes);
   Async<void> askAdvice(AdviceOrder Question);
   void take(const JobChange &Change, const JobProgress *Progress);
   void take(const RegistryView &View);
@@ -82,6 +85,8 @@
   bool Loaded = false;
   bool Storing = false;
   std::int64_t JobsVersion = 0;
+  std::int64_t HeadVersion = 0; ///< Of the row before the next transaction.
+  std::int64_t BatchNumber = 0;
 };
 
 } // namespace sardinerill::site
--- a/packages/site/src/ownershipkeeper.cpp
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -143,6 +143,7 @@
   Change.Expectations.push_back({ownershipKey(), this->Watch.version()});
   Change.Writes.push_back({ownershipKey(), encodeOwnership(Mine)});
   Change.Writes.push_back({epochKey(), this->Incarnation});
+  Change.Writes.push_back({progressHeadKey(), this->Incarnation});
   const Instant SentAt = this->Parts.Clock.now();
   const auto Outcome =
       co_await this->Parts.Store.transact(std::move(Change), CallLimit);
--- a/packages/site/src/unixtime.cpp
+++ b/packages/site/src/unixtime.cpp
@@ -19,6 +19,8 @@
 
 RowKey epochKey() { return {"ownership", "p", "epoch"}; }
 
+RowKey progressHeadKey() { return {"ownership", "p", "progress-head"}; }
+
 RowKey ownershipKey() { return {"ownership", "p", "site"}; }
 
 } // namespace sardinerill::site
--- a/packages/site/src/unixtime.h
+++ b/packages/site/src/unixtime.h
@@ -12,8 +12,11 @@
 /// from the process's start, so that jumps of the time of day don't show.
 std::int64_t unixMillis();
 
-/// Row that a claim writes; stored progress depends on its version.
+/// Row that only a claim writes: its version is the fencing token.
 RowKey epochKey();
+/// Row that every transaction on progress rewrites: one that is carried out late
+/// can't undo a newer one.
+RowKey progressHeadKey();
 /// Row that names the holder and changes with each renewal.
 RowKey ownershipKey();
 
