VMs follow demand between pools and the standby pool

Change: planPools, pure, sizes pools by their demand, rising at once and falling slowly; VmKeeper moves empty VMs.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -21,6 +21,9 @@
   /// Until then, runs of an earlier holder may go on unseen on upstreams that
   /// have not answered.
   Instant InheritedUntil{};
+  /// Until then, jobs may be missing here that upstreams have run: what was
+  /// read of the table may be seconds old.
+  Instant UnknownJobsUntil{};
 };
 
 /// Progress of one job that has to be stored before it counts.
@@ -32,6 +35,7 @@
 
 struct UpstreamLoad {
   int Runs = 0;
+  int LastingRuns = 0;
   Resources Used;
 };
 
--- /dev/null
+++ b/packages/scheduling/src/poolplan.cpp
@@ -0,0 +1,139 @@
+#include "sardinerill/scheduling/poolplan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <tuple>
+
+namespace sardinerill::site {
+
+namespace {
+
+/// Processors that a pool has beyond its demand, as a share of the demand.
+constexpr double Headroom = 1.15;
+/// VMs that a pool has beyond what its demand needs: the first second of a
+/// peak is served by them.
+constexpr int SpareVms = 2;
+/// Least VMs of a pool, as a share of the mean over all pools.
+constexpr double LeastShare = 0.4;
+/// Time constant with which a fallen demand is forgotten.
+constexpr double ForgetSeconds = 2.5;
+/// A pool shrinks only if this many VMs are beyond what it wants.
+constexpr int ShrinkMargin = 1;
+
+struct Need {
+  const PoolView *Pool = nullptr;
+  int Wanted = 0;
+  int Have = 0;
+  int missing() const { return this->Wanted - this->Have; }
+  int surplus() const { return this->Have - this->Wanted; }
+};
+
+double rememberDemand(PoolMemory &Memory, double Demand, Instant Now) {
+  const double Passed = double((Now - Memory.LookedAt).count()) / 1e6;
+  const double Kept = Memory.SlowDemand * std::exp(-Passed / ForgetSeconds);
+  Memory.SlowDemand = std::max(Demand, Kept);
+  Memory.LookedAt = Now;
+  return Memory.SlowDemand;
+}
+
+int inService(const PoolView &Pool) {
+  return int(std::ranges::count_if(Pool.Vms, [](const PoolVm &Vm) {
+    return Vm.Takes && !Vm.Leaving;
+  }));
+}
+
+/// \returns the VMs of \p Pool that may leave, emptiest first.
+std::vector<const PoolVm *> givable(const PoolView &Pool) {
+  std::vector<const PoolVm *> Vms;
+  for (const PoolVm &Vm : Pool.Vms)
+    if (Vm.Takes && Vm.Free && Vm.LastingRuns == 0)
+      Vms.push_back(&Vm);
+  std::ranges::stable_sort(Vms, [](const PoolVm *A, const PoolVm *B) {
+    return std::tuple(A->Runs, !A->Leaving, A->UsedCpuMilli) <
+           std::tuple(B->Runs, !B->Leaving, B->UsedCpuMilli);
+  });
+  return Vms;
+}
+
+/// Lets up to \p Most VMs of \p Giver go to \p To: the empty ones at once, the
+/// others as soon as they are empty. \returns how many will come.
+int give(const PoolView &Giver, const PoolId &To, int Most, bool OnlyEmpty,
+         std::set<VmId> &Taken, PoolSteps &Steps) {
+  int Given = 0;
+  for (const PoolVm *Vm : givable(Giver)) {
+    if (Given >= Most)
+      break;
+    if (Taken.contains(Vm->Id) || (OnlyEmpty && Vm->Runs > 0))
+      continue;
+    Taken.insert(Vm->Id);
+    if (Vm->Runs == 0)
+      Steps.Moves.push_back({Vm->Id, Giver.Id, To});
+    else if (!Vm->Leaving)
+      Steps.Empty.push_back(Vm->Id);
+    ++Given;
+  }
+  return Given;
+}
+
+} // namespace
+
+PoolSteps planPools(const std::vector<PoolView> &Pools,
+                    std::map<PoolId, PoolMemory> &Memory,
+                    std::int64_t CpuMilliOfVm, Instant Now) {
+  PoolSteps Steps;
+  if (CpuMilliOfVm <= 0 || Pools.size() < 2)
+    return Steps;
+  std::size_t Total = 0;
+  const PoolView *Standby = nullptr;
+  for (const PoolView &Pool : Pools) {
+    Total += Pool.Vms.size();
+    if (Pool.Standby)
+      Standby = &Pool;
+  }
+  const int Least =
+      int(std::ceil(LeastShare * double(Total) / double(Pools.size())));
+  std::vector<Need> Needs;
+  for (const PoolView &Pool : Pools) {
+    if (Pool.Standby)
+      continue;
+    const double Demand = rememberDemand(
+        Memory[Pool.Id], double(Pool.DemandCpuMilli), Now);
+    const int ForDemand =
+        int(std::ceil(Demand * Headroom / double(CpuMilliOfVm)));
+    Needs.push_back({&Pool, std::max(Least, ForDemand + SpareVms),
+                     inService(Pool) + Pool.Arriving});
+  }
+  std::ranges::stable_sort(Needs, [](const Need &A, const Need &B) {
+    return A.missing() > B.missing();
+  });
+  std::set<VmId> Taken;
+  for (Need &Wants : Needs) {
+    if (Wants.missing() <= 0)
+      break;
+    if (Standby)
+      Wants.Have += give(*Standby, Wants.Pool->Id, Wants.missing(), true, Taken,
+                         Steps);
+    for (Need &Gives : Needs) {
+      const int Most = std::min(Wants.missing(), Gives.surplus());
+      if (Most <= 0)
+        continue;
+      const int Given =
+          give(*Gives.Pool, Wants.Pool->Id, Most, false, Taken, Steps);
+      Gives.Have -= Given;
+      Wants.Have += Given;
+    }
+  }
+  if (Standby)
+    for (Need &Gives : Needs)
+      if (Gives.surplus() > ShrinkMargin)
+        Gives.Have -= give(*Gives.Pool, Standby->Id,
+                           Gives.surplus() - ShrinkMargin, true, Taken, Steps);
+  for (const PoolView &Pool : Pools)
+    for (const PoolVm &Vm : Pool.Vms)
+      if (Vm.Leaving && Vm.Free && !Taken.contains(Vm.Id))
+        Steps.Keep.push_back(Vm.Id);
+  return Steps;
+}
+
+} // namespace sardinerill::site
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -164,7 +164,13 @@
   const auto Found = this->Inner->Upstreams.find(Id);
   if (Found == this->Inner->Upstreams.end())
     return {};
-  return {int(Found->second->Runs.size()), Found->second->Used};
+  const UpstreamRecord &Upstream = *Found->second;
+  const auto Lasting =
+      std::ranges::count_if(Upstream.Runs, [this](const auto &Entry) {
+        const StepSpec *Step = this->Inner->spec(Entry.first.Task);
+        return Step && Step->LongRunning;
+      });
+  return {int(Upstream.Runs.size()), int(Lasting), Upstream.Used};
 }
 
 void Scheduler::reportUpstream(const UpstreamReport &Report, Instant Now) {
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -260,6 +260,10 @@
     Seen.insert(End.Run);
     if (End.Sequence <= From.EndsSeen)
       continue;
+    // An end that can't be recorded yet stays with its upstream.
+    if (!this->Inner->job(End.Run.Task.Job) &&
+        Now < this->Inner->Options.UnknownJobsUntil)
+      break;
     From.EndsSeen = End.Sequence;
     this->Inner->takeEnd(From, End, Now);
     if (const JobRecord *Job = this->Inner->job(End.Run.Task.Job))
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -29,6 +29,8 @@
 /// An entry that is missing for this long, through answered looks, is gone.
 constexpr milliseconds MissingLimit{2500};
 constexpr seconds RemovalInterval{20};
+/// Reads around a loss of the table's history can be this old.
+constexpr seconds UnknownJobsTime{12};
 
 SchedulerOptions schedulerOptions(const HolderParts &Parts,
                                   const OwnershipTimes &Times,
@@ -39,7 +41,8 @@
     Unseen += Times.Lease;
   return {.Bounds = Parts.Settings.Bounds,
           .Term = From.Term,
-          .InheritedUntil = From.ClaimSentAt + Unseen};
+          .InheritedUntil = From.ClaimSentAt + Unseen,
+          .UnknownJobsUntil = From.ClaimSentAt + UnknownJobsTime};
 }
 
 } // namespace
@@ -52,7 +55,8 @@
       Context(std::make_shared<LinkContext>(
           LinkContext{Parts.Executor, Parts.Clock, this->Plan, this->Ownership,
                       this->Decide, this->Parts.Settings.Bounds})),
-      Keeper({.Executor = Parts.Executor,
+      Keeper(std::make_shared<VmKeeper>(
+          VmKeeperParts{.Executor = Parts.Executor,
               .Clock = Parts.Clock,
               .Store = Parts.Store,
               .Source = Parts.Source,
@@ -64,7 +68,7 @@
               .Figures = Parts.Figures},
              From.Before == Predecessor::MayOrder
                  ? From.ClaimSentAt + Times.Lease
-                 : From.ClaimSentAt) {}
+                 : From.ClaimSentAt)) {}
 
 void Holder::run() {
   const auto Self = this->shared_from_this();
@@ -74,7 +78,7 @@
 
 void Holder::stop() {
   this->Context->Stopped = true;
-  this->Keeper.stop();
+  this->Keeper->stop();
   for (auto &[Id, Link] : this->Links)
     Link->close();
   this->Decide.notify();
@@ -83,12 +87,12 @@
 
 void Holder::configure(const SiteConfiguration &Configuration) {
   this->Plan.configure(Configuration);
-  this->Keeper.configure(Configuration);
+  this->Keeper->configure(Configuration);
   this->Decide.notify();
 }
 
 void Holder::addWaves(const std::vector<MaintenanceWave> &Waves) {
-  this->Keeper.addWaves(Waves);
+  this->Keeper->addWaves(Waves);
 }
 
 std::optional<JobState> Holder::stateOf(const JobId &Job) const {
@@ -109,9 +113,15 @@
     return;
   const std::int64_t AgeMs =
       std::max<std::int64_t>(0, unixMillis() - Change.Spec->AcceptedAtMs);
-  const bool Inherited = Change.Version < this->From.Token;
+  // A predecessor that may still order can have started a job that was
+  // accepted after the claim.
+  const bool MayBeStarted =
+      this->From.Before == Predecessor::MayOrder &&
+      Now < schedulerOptions(this->Parts, this->Times, this->From)
+                .InheritedUntil;
+  const bool Inherited = Change.Version < this->From.Token || MayBeStarted;
   // The time of day may have jumped: only an inherited job's age is trusted.
-  const Instant AcceptedAt = Inherited ? Now - milliseconds(AgeMs) : Now;
+  const Instant AcceptedAt = Change.Version < this->From.Token ? Now - milliseconds(AgeMs) : Now;
   std::optional<JobProgress> Known;
   if (Progress)
     Known = *Progress;
@@ -155,7 +165,7 @@
   spawn(this->Parts.Executor, "holder-store",
         [Self] { return Self->storeLoop(); });
   spawn(this->Parts.Executor, "holder-vms",
-        [Self] { return Self->Keeper.run(); });
+        [Self] { return Self->Keeper->run(); });
 }
 
 Async<void> Holder::followJobs() {
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -81,7 +81,7 @@
   std::shared_ptr<LinkContext> Context;
   std::map<UpstreamId, std::shared_ptr<UpstreamLink>> Links;
   std::map<UpstreamId, Instant> MissingSince;
-  VmKeeper Keeper;
+  std::shared_ptr<VmKeeper> Keeper;
   bool Loaded = false;
   bool Storing = false;
   std::int64_t JobsVersion = 0;
--- a/packages/site/src/vmkeeper.cpp
+++ b/packages/site/src/vmkeeper.cpp
@@ -48,6 +48,12 @@
   return Found != this->Configuration.Pools.end() && Found->second.Standby;
 }
 
+bool VmKeeper::hasStandby() const {
+  return std::ranges::any_of(this->Configuration.Pools, [](const auto &Entry) {
+    return Entry.second.Standby;
+  });
+}
+
 bool VmKeeper::hasOpenWave() const {
   return std::ranges::any_of(
       this->Waves, [](const auto &Entry) { return !Entry.second.Completed; });
@@ -57,7 +63,8 @@
   while (!this->Stopped) {
     const Instant Now = this->Parts.Clock.now();
     const bool Quiet = Now < this->QuietUntil;
-    if (Quiet || !this->hasOpenWave() || !this->Parts.Ownership.mayOrder(Now)) {
+    const bool Idle = !this->hasOpenWave() && !this->hasStandby();
+    if (Quiet || Idle || !this->Parts.Ownership.mayOrder(Now)) {
       co_await pauseFor(IdleInterval);
       continue;
     }
@@ -75,6 +82,7 @@
     co_return;
   }
   this->Vms = std::move(*Listed);
+  this->refreshMoves();
   for (auto &[Number, Wave] : this->Waves) {
     if (Wave.Completed)
       continue;
@@ -86,6 +94,8 @@
     if (this->Stopped)
       co_return;
   }
+  if (this->hasStandby())
+    co_await this->movePools();
 }
 
 void VmKeeper::refresh(WaveProgress &Wave) {
@@ -159,7 +169,7 @@
         {.Id = Id,
          .Pool = Vm->Pool,
          .Stage = Progress.Stage,
-         .Up = Vm->State == VmState::Up,
+         .Up = Vm->State == VmState::Up && !this->Moves.contains(Id),
          .Standby = this->isStandby(Vm->Pool),
          .Runs = Load.Runs,
          .MayInterrupt = this->Parts.Plan.mayInterrupt(Vm->Upstream, Now),
--- a/packages/site/src/vmkeeper.h
+++ b/packages/site/src/vmkeeper.h
@@ -4,6 +4,7 @@
 
 #include "sardinerill/base/metrics.h"
 #include "sardinerill/ownership/ownership.h"
+#include "sardinerill/scheduling/poolplan.h"
 #include "sardinerill/scheduling/scheduler.h"
 #include "sardinerill/scheduling/waveplan.h"
 #include "sardinerill/site/isitesource.h"
@@ -31,7 +32,7 @@
   Metrics &Figures;
 };
 
-class VmKeeper {
+class VmKeeper : public std::enable_shared_from_this<VmKeeper> {
 public:
   /// \param QuietUntil an earlier holder may still give orders until then.
   VmKeeper(VmKeeperParts Parts, Instant QuietUntil)
@@ -60,7 +61,24 @@
     std::size_t StoredDone = 0; ///< VMs that are stored as done.
   };
 
+  /// A VM that leaves its pool, or is on its way to another.
+  struct MoveProgress {
+    PoolId To;
+    UpstreamId Upstream;
+    Instant Since{};
+    bool Ordered = false;
+    bool Answered = false;
+    bool SeenAway = false;
+  };
+
   Async<void> look();
+  std::vector<PoolView> poolViews() const;
+  Async<void> movePools();
+  Async<void> moveVm(VmId Vm);
+  void refreshMoves();
+  /// \returns whether the move of \p Id is over or did not happen.
+  bool hasSettled(const VmId &Id, MoveProgress &Move, Instant Now);
+  bool inWave(const VmId &Vm) const;
   Async<void> advance(WaveProgress &Wave);
   void refresh(WaveProgress &Wave);
   WaveView viewOf(const WaveProgress &Wave) const;
@@ -72,6 +90,7 @@
   const VmRecord *record(const VmId &Vm) const;
   bool isStandby(const PoolId &Pool) const;
   bool hasOpenWave() const;
+  bool hasStandby() const;
   RowKey doneKey(const WaveProgress &Wave) const;
 
   VmKeeperParts Parts;
@@ -79,6 +98,8 @@
   SiteConfiguration Configuration;
   std::map<std::int64_t, WaveProgress> Waves;
   std::vector<VmRecord> Vms;
+  std::map<VmId, MoveProgress> Moves;
+  std::map<PoolId, PoolMemory> PoolDemands;
   bool Stopped = false;
 };
 
--- /dev/null
+++ b/packages/site/src/vmmoves.cpp
@@ -0,0 +1,169 @@
+#include "vmkeeper.h"
+
+#include "sardinerill/base/logging.h"
+
+#include <algorithm>
+
+/// \file
+/// Moves of VMs between pools.
+
+namespace sardinerill::site {
+
+namespace {
+
+constexpr milliseconds OrderLimit{1500};
+/// A VM whose move was accepted is seen away within this time.
+constexpr milliseconds SeenAwayLimit{1200};
+
+} // namespace
+
+bool VmKeeper::inWave(const VmId &Vm) const {
+  return std::ranges::any_of(this->Waves, [&](const auto &Entry) {
+    const auto Found = Entry.second.Vms.find(Vm);
+    return Found != Entry.second.Vms.end() &&
+           (Found->second.Stage == WaveStage::Preparing ||
+            Found->second.Stage == WaveStage::Ordered);
+  });
+}
+
+std::vector<PoolView> VmKeeper::poolViews() const {
+  std::map<PoolId, PoolView> Views;
+  for (const auto &[Id, Pool] : this->Configuration.Pools)
+    Views[Id] = {.Id = Id, .Standby = Pool.Standby};
+  for (const VmRecord &Vm : this->Vms) {
+    const auto Pool = Views.find(Vm.Pool);
+    if (Pool == Views.end())
+      continue;
+    const auto Move = this->Moves.find(Vm.Id);
+    const bool Moving = Move != this->Moves.end() && Move->second.Ordered;
+    if (Moving || Vm.State == VmState::Moving) {
+      const PoolId To = Moving ? Move->second.To : Vm.Pool;
+      if (const auto Target = Views.find(To); Target != Views.end())
+        ++Target->second.Arriving;
+      continue;
+    }
+    const UpstreamLoad Load = this->Parts.Plan.loadOf(Vm.Upstream);
+    const bool Waved = this->inWave(Vm.Id);
+    Pool->second.Vms.push_back({.Id = Vm.Id,
+                                .Takes = Vm.State == VmState::Up && !Waved,
+                                .Free = !Waved,
+                                .Leaving = Move != this->Moves.end(),
+                                .Runs = Load.Runs,
+                                .LastingRuns = Load.LastingRuns,
+                                .UsedCpuMilli = Load.Used.CpuMilli});
+  }
+  for (const auto &[Id, Demand] : this->Parts.Plan.demand())
+    if (const auto Pool = Views.find(Id); Pool != Views.end())
+      Pool->second.DemandCpuMilli = Demand.CpuMilli;
+  std::vector<PoolView> List;
+  for (auto &[Id, View] : Views)
+    List.push_back(std::move(View));
+  return List;
+}
+
+void VmKeeper::refreshMoves() {
+  const Instant Now = this->Parts.Clock.now();
+  for (auto Entry = this->Moves.begin(); Entry != this->Moves.end();)
+    Entry = this->hasSettled(Entry->first, Entry->second, Now)
+                ? this->Moves.erase(Entry)
+                : std::next(Entry);
+}
+
+bool VmKeeper::hasSettled(const VmId &Id, MoveProgress &Move, Instant Now) {
+  const VmRecord *Vm = this->record(Id);
+  if (!Vm)
+    return true; // It was taken away for good.
+  if (!Move.Ordered)
+    return false;
+  const bool OtherLife =
+      !Vm->Upstream.empty() && Vm->Upstream != Move.Upstream;
+  const bool Away =
+      Vm->State != VmState::Up || OtherLife || Vm->Pool == Move.To;
+  if (Away && !Move.SeenAway) {
+    Move.SeenAway = true;
+    this->Parts.Plan.retireUpstream(Move.Upstream, "its VM moved", Now);
+    this->Parts.Decide.notify();
+  }
+  const bool Arrived = Vm->State == VmState::Up && Vm->Pool == Move.To;
+  const bool Overdue =
+      Move.Answered && !Move.SeenAway && Now - Move.Since > SeenAwayLimit;
+  if (Overdue)
+    this->Parts.Plan.cordon(Vm->Upstream, false);
+  return Arrived || Overdue;
+}
+
+Async<void> VmKeeper::movePools() {
+  const Instant Now = this->Parts.Clock.now();
+  std::int64_t CpuMilliOfVm = 0;
+  for (const VmRecord &Vm : this->Vms)
+    CpuMilliOfVm = std::max(CpuMilliOfVm, Vm.Capacity.CpuMilli);
+  const PoolSteps Steps =
+      planPools(this->poolViews(), this->PoolDemands, CpuMilliOfVm, Now);
+  for (const VmId &Id : Steps.Keep) {
+    this->Moves.erase(Id);
+    if (const VmRecord *Vm = this->record(Id))
+      this->Parts.Plan.cordon(Vm->Upstream, false);
+  }
+  for (const VmId &Id : Steps.Empty)
+    if (const VmRecord *Vm = this->record(Id)) {
+      this->Moves[Id] = {.Upstream = Vm->Upstream, .Since = Now};
+      this->Parts.Plan.cordon(Vm->Upstream, true);
+    }
+  for (const PoolMove &Each : Steps.Moves) {
+    const VmRecord *Vm = this->record(Each.Vm);
+    if (!Vm || this->Parts.Plan.loadOf(Vm->Upstream).Runs > 0)
+      continue; // A task came meanwhile.
+    this->Parts.Plan.cordon(Vm->Upstream, true);
+    this->Moves[Each.Vm] = {.To = Each.To,
+                            .Upstream = Vm->Upstream,
+                            .Since = Now,
+                            .Ordered = true};
+    spawn(this->Parts.Executor, "vm-move",
+          [this, Kept = this->shared_from_this(), Id = Each.Vm] {
+            return this->moveVm(Id);
+          });
+  }
+  // An order without an answer is repeated: it is carried out only once.
+  for (auto &[Id, Move] : this->Moves) {
+    const bool Silent = Move.Ordered && !Move.Answered &&
+                        Now - Move.Since > 2 * OrderLimit;
+    if (!Silent)
+      continue;
+    Move.Since = Now;
+    spawn(this->Parts.Executor, "vm-move",
+          [this, Kept = this->shared_from_this(), Id = Id] {
+            return this->moveVm(Id);
+          });
+  }
+  co_return;
+}
+
+Async<void> VmKeeper::moveVm(VmId Id) {
+  const auto Found = this->Moves.find(Id);
+  if (this->Stopped || Found == this->Moves.end() ||
+      !this->Parts.Ownership.mayOrder(this->Parts.Clock.now()))
+    co_return;
+  const PoolId To = Found->second.To;
+  VmOrderSource Source{this->Parts.Settings.Name,
+                       this->Parts.Ownership.token()};
+  const VmOrderOutcome Outcome =
+      co_await this->Parts.Vms.move(Id, To, std::move(Source), OrderLimit);
+  if (this->Stopped)
+    co_return;
+  logEvent(LogLevel::Info, "vm.move",
+           {{"vm", Id.str()},
+            {"to", To.str()},
+            {"outcome", std::to_string(static_cast<int>(Outcome))}});
+  const auto Move = this->Moves.find(Id);
+  if (Move == this->Moves.end() || Outcome == VmOrderOutcome::Unknown)
+    co_return;
+  if (Outcome == VmOrderOutcome::Accepted) {
+    Move->second.Answered = true;
+    Move->second.Since = this->Parts.Clock.now();
+    co_return;
+  }
+  this->Parts.Plan.cordon(Move->second.Upstream, false);
+  this->Moves.erase(Move);
+}
+
+} // namespace sardinerill::site
