--- a/packages/site/src/vmkeeper.h
+++ b/packages/site/src/vmkeeper.h
@@ -76,6 +76,7 @@
   Async<void> movePools();
   Async<void> moveVm(VmId Vm);
   void refreshMoves();
+  void logPools(Instant Now);
   /// \returns whether the move of \p Id is over or did not happen.
   bool hasSettled(const VmId &Id, MoveProgress &Move, Instant Now);
   bool inWave(const VmId &Vm) const;
@@ -101,6 +102,7 @@
   std::map<VmId, MoveProgress> Moves;
   std::map<PoolId, PoolMemory> PoolDemands;
   bool Stopped = false;
+  Instant NextPoolLog{};
 };
 
 } // namespace sardinerill::site
--- a/packages/site/src/vmmoves.cpp
+++ b/packages/site/src/vmmoves.cpp
@@ -15,6 +15,8 @@
 /// A VM whose move was accepted is seen away within this time.
 constexpr milliseconds SeenAwayLimit{1200};
 
+constexpr seconds PoolLogInterval{1};
+
 } // namespace
 
 bool VmKeeper::inWave(const VmId &Vm) const {
@@ -92,6 +94,30 @@
   return Arrived || Overdue;
 }
 
+void VmKeeper::logPools(Instant Now) {
+  if (Now < this->NextPoolLog)
+    return;
+  this->NextPoolLog = Now + PoolLogInterval;
+  for (const PoolView &Pool : this->poolViews()) {
+    int Taking = 0;
+    int Empty = 0;
+    int Pinned = 0;
+    for (const PoolVm &Vm : Pool.Vms) {
+      Taking += Vm.Takes && !Vm.Leaving;
+      Empty += Vm.Takes && Vm.Runs == 0;
+      Pinned += Vm.LastingRuns > 0;
+    }
+    logEvent(LogLevel::Info, "pool.state",
+             {{"pool", Pool.Id.str()},
+              {"vms", std::to_string(Pool.Vms.size())},
+              {"taking", std::to_string(Taking)},
+              {"empty", std::to_string(Empty)},
+              {"pinned", std::to_string(Pinned)},
+              {"arriving", std::to_string(Pool.Arriving)},
+              {"demand_cpu_milli", std::to_string(Pool.DemandCpuMilli)}});
+  }
+}
+
 Async<void> VmKeeper::movePools() {
   const Instant Now = this->Parts.Clock.now();
   std::int64_t CpuMilliOfVm = 0;
@@ -99,6 +125,7 @@
     CpuMilliOfVm = std::max(CpuMilliOfVm, Vm.Capacity.CpuMilli);
   const PoolSteps Steps =
       planPools(this->poolViews(), this->PoolDemands, CpuMilliOfVm, Now);
+  this->logPools(Now);
   for (const VmId &Id : Steps.Keep) {
     this->Moves.erase(Id);
     if (const VmRecord *Vm = this->record(Id))
