--- a/packages/scheduling/src/schedulercare.cpp
+++ b/packages/scheduling/src/schedulercare.cpp
@@ -24,14 +24,17 @@
 /// What an upstream listed longer ago proves nothing of its tasks; above the
 /// usual time between two listings (1 s).
 constexpr milliseconds RecentAnswer{1800};
-constexpr int AtWork = 100; ///< Percent of a task that lasts and serves.
+/// A task counts as at work when it has been listed so for this long: the
+/// percentage is rounded, and reaches 100 a little early.
+constexpr milliseconds Settling{700};
 
 } // namespace
 
 bool Scheduler::State::isAtWork(const RunPtr &Candidate, Instant Now) const {
   const auto Where = this->Upstreams.find(Candidate->Where);
   return Candidate->Phase == RunPhase::Active && !Candidate->StopWanted &&
-         Candidate->Percent >= AtWork && Where != this->Upstreams.end() &&
+         Candidate->AtWorkSince && Now - *Candidate->AtWorkSince >= Settling &&
+         Where != this->Upstreams.end() &&
          Now - Where->second->AnsweredAt < RecentAnswer;
 }
 
@@ -60,7 +63,7 @@
   const auto Where = this->Upstreams.find(Candidate->Where);
   const bool Known = Where != this->Upstreams.end() &&
                      Now - Where->second->AnsweredAt < RecentAnswer;
-  if (Known && !this->isAtWork(Candidate, Now))
+  if (Known && !Candidate->AtWorkSince)
     return true; // Not at work: ending it makes nothing worse.
   const int Away = this->unavailable(Job, Candidate->Id.Task.Occurrence,
                                      Candidate->Id.Task.Step, Now);
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -4,6 +4,7 @@
 #include "sardinerill/scheduling/orders.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -32,6 +33,7 @@
   bool ByFailureOfUpstream = false; ///< Stopped because it made no progress.
   int Percent = 0;
   Instant ProgressAt{}; ///< When the percentage last rose.
+  std::optional<Instant> AtWorkSince; ///< First listed with 100 percent.
   std::int64_t Load = 0;
   int Pace = 100;
   Instant PacedAt{};
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -17,6 +17,7 @@
 /// An upstream that failed is the last choice for this time a failure.
 constexpr milliseconds AvoidancePerFailure{1000};
 constexpr int MostFailuresCounted = 8;
+constexpr int WholeAtWork = 100; ///< Percent.
 /// Pause before a task that failed starts again.
 constexpr milliseconds RetryPause{20};
 
@@ -216,6 +217,10 @@
   if (Seen.Percent != Known->Percent)
     Known->ProgressAt = Now;
   Known->Percent = Seen.Percent;
+  if (Seen.Percent < WholeAtWork)
+    Known->AtWorkSince.reset();
+  else if (!Known->AtWorkSince)
+    Known->AtWorkSince = Now;
   Known->Load = Seen.Load;
   if (!Seen.Checkpoint.empty())
     if (TaskRecord *Task = this->task(Seen.Run.Task))
