Takeovers cost less: shorter leases, a tight bound of unseen use

Change: orders end 3.6 s after the last renewal, inherited leases by what was asked for; unseen use is what blocked tasks could use; lives that no VM runs are retired; one failed call is enough to go through another daemon.

Ruled out: the load of the holder's processor (0.06 of a core at most).

--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -31,7 +31,7 @@
 
 struct OwnershipTimes {
   /// A holder gives no orders later than this after its last renewal.
-  Duration Lease = milliseconds(5500);
+  Duration Lease = milliseconds(3600);
   /// Kept between the end of a lease as its holder and as others see it.
   Duration Margin = milliseconds(300);
   /// Time between renewals.
@@ -68,6 +68,10 @@
   /// \returns whether the row may be claimed now.
   bool mayClaim() const;
   Predecessor predecessor() const;
+  /// \returns until when a predecessor that may order does so at the latest.
+  Instant predecessorUntil() const {
+    return this->UnchangedSince + this->Times.Lease;
+  }
   /// \returns the version that a claim has to expect; 0 if there is no row.
   std::int64_t version() const { return this->Version; }
   const OwnershipRow &row() const { return this->Row; }
--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -78,6 +78,8 @@
   /// The same, and later reports of this life are ignored: it was ended.
   void retireUpstream(const UpstreamId &Id, std::string_view Reason,
                       Instant Now);
+  /// \returns upstreams reported before \p Before that have never answered.
+  std::vector<UpstreamId> silentSince(Instant Before) const;
   UpstreamLoad loadOf(const UpstreamId &Id) const;
   /// Takes in what an upstream lists.
   /// \param SentAt when the question was sent.
--- a/packages/scheduling/src/poolplan.cpp
+++ b/packages/scheduling/src/poolplan.cpp
@@ -38,9 +38,8 @@
 }
 
 int inService(const PoolView &Pool) {
-  return int(std::ranges::count_if(Pool.Vms, [](const PoolVm &Vm) {
-    return Vm.Takes && !Vm.Leaving;
-  }));
+  return int(std::ranges::count_if(
+      Pool.Vms, [](const PoolVm &Vm) { return Vm.Takes && !Vm.Leaving; }));
 }
 
 /// \returns the VMs of \p Pool that may leave, emptiest first.
@@ -97,8 +96,8 @@
   for (const PoolView &Pool : Pools) {
     if (Pool.Standby)
       continue;
-    const double Demand = rememberDemand(
-        Memory[Pool.Id], double(Pool.DemandCpuMilli), Now);
+    const double Demand =
+        rememberDemand(Memory[Pool.Id], double(Pool.DemandCpuMilli), Now);
     const int ForDemand =
         int(std::ceil(Demand * Headroom / double(CpuMilliOfVm)));
     Needs.push_back({&Pool, std::max(Least, ForDemand + SpareVms),
@@ -112,8 +111,8 @@
     if (Wants.missing() <= 0)
       break;
     if (Standby)
-      Wants.Have += give(*Standby, Wants.Pool->Id, Wants.missing(), true, Taken,
-                         Steps);
+      Wants.Have +=
+          give(*Standby, Wants.Pool->Id, Wants.missing(), true, Taken, Steps);
     for (Need &Gives : Needs) {
       const int Most = std::min(Wants.missing(), Gives.surplus());
       if (Most <= 0)
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -160,6 +160,14 @@
   this->loseUpstream(Id, Reason, Now);
 }
 
+std::vector<UpstreamId> Scheduler::silentSince(Instant Before) const {
+  std::vector<UpstreamId> Silent;
+  for (const auto &[Id, Upstream] : this->Inner->Upstreams)
+    if (!Upstream->Answered && Upstream->ReportedAt < Before)
+      Silent.push_back(Id);
+  return Silent;
+}
+
 UpstreamLoad Scheduler::loadOf(const UpstreamId &Id) const {
   const auto Found = this->Inner->Upstreams.find(Id);
   if (Found == this->Inner->Upstreams.end())
@@ -188,6 +196,8 @@
   const bool IsNew = !Record;
   if (IsNew)
     Record = std::make_unique<UpstreamRecord>();
+  if (IsNew)
+    Record->ReportedAt = Now;
   const bool Moved = IsNew || Record->Report.Pool != Report.Pool;
   if (!IsNew && Record->Report.Draining != Report.Draining)
     logEvent(LogLevel::Info, "upstream.draining",
@@ -295,6 +305,7 @@
   for (const JobId &Id : Inner.LiveJobs)
     Inner.layOutDue(*Inner.Jobs.at(Id), UnixMs);
   Inner.replaceStuckRuns(Now);
+  Inner.countUnseenUse(Now);
   std::vector<WaitingStep> Waiting = Inner.waitingSteps(Now);
   std::ranges::stable_sort(Waiting, goesBefore, &WaitingStep::Work);
   for (const WaitingStep &Step : Waiting)
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -32,7 +32,7 @@
   bool StopWanted = false;
   bool ByFailureOfUpstream = false; ///< Stopped because it made no progress.
   int Percent = 0;
-  Instant ProgressAt{}; ///< When the percentage last rose.
+  Instant ProgressAt{};               ///< When the percentage last rose.
   std::optional<Instant> AtWorkSince; ///< First listed with 100 percent.
   std::int64_t Load = 0;
   int Pace = 100;
@@ -102,6 +102,7 @@
   std::map<RunId, RunPtr> Runs;
   std::map<std::int64_t, UnstoredEnd> Unstored;
   std::int64_t EndsSeen = 0;
+  Instant ReportedAt{}; ///< First seen in the registry.
   Instant AnsweredAt{};
   Instant UnlistedAt{};
   int FailuresInRow = 0;
--- a/packages/scheduling/src/schedulerplacing.cpp
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -89,14 +89,32 @@
   return Waiting;
 }
 
-Resources Scheduler::State::unseenUse(Instant Now) const {
-  Resources Unseen;
+void Scheduler::State::countUnseenUse(Instant Now) {
+  this->Unseen.clear();
   if (Now >= this->Options.InheritedUntil)
-    return Unseen;
-  for (const auto &[Id, Upstream] : this->Upstreams)
-    if (!Upstream->Answered)
-      Unseen += Upstream->Report.Capacity;
-  return Unseen;
+    return;
+  for (const JobId &Id : this->LiveJobs) {
+    const JobRecord &Job = *this->Jobs.at(Id);
+    if (!this->isBlocked(Job, this->settingsOf(Job).Pool, Now))
+      continue;
+    for (const auto &[Number, Occurrence] : Job.Occurrences)
+      for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
+        if (!isReady(Job.Spec, Occurrence, int(Step)))
+          continue;
+        const auto Unknown = std::ranges::count_if(
+            Occurrence.Steps[Step].Tasks, [](const TaskRecord &Task) {
+              return !Task.Done && Task.Runs.empty();
+            });
+        this->Unseen[Job.Spec.Organisation] +=
+            Job.Spec.Steps[Step].Need * Unknown;
+      }
+  }
+}
+
+Resources
+Scheduler::State::unseenUse(const OrganisationId &Organisation) const {
+  const auto Found = this->Unseen.find(Organisation);
+  return Found == this->Unseen.end() ? Resources{} : Found->second;
 }
 
 bool Scheduler::State::underCeiling(const OrganisationId &Organisation,
@@ -190,7 +208,8 @@
   StepRecord &Record = Waiting.record();
   TaskRecord &Task = Record.Tasks[std::size_t(Index)];
   if (!this->underCeiling(Waiting.Job->Spec.Organisation,
-                          Spec.Need + this->unseenUse(Now)))
+                          Spec.Need +
+                              this->unseenUse(Waiting.Job->Spec.Organisation)))
     return false;
   UpstreamRecord *Where =
       this->choose({.Step = &Spec,
@@ -234,7 +253,8 @@
   }
   const Resources Whole = Spec.Need * std::int64_t(Record.Tasks.size());
   if (!this->underCeiling(Waiting.Job->Spec.Organisation,
-                          Whole + this->unseenUse(Now)))
+                          Whole +
+                              this->unseenUse(Waiting.Job->Spec.Organisation)))
     return false;
   // Tries each rack by itself first, then the pool as a whole.
   std::vector<std::string> Racks{""};
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -77,7 +77,8 @@
   UpstreamRecord *choose(const PlacementQuestion &Question);
   bool underCeiling(const OrganisationId &Organisation,
                     const Resources &More) const;
-  Resources unseenUse(Instant Now) const;
+  void countUnseenUse(Instant Now);
+  Resources unseenUse(const OrganisationId &Organisation) const;
   void start(UpstreamRecord &Where, const WaitingStep &Waiting, int Index,
              int Number, Instant Now);
   int nextNumber(const JobRecord &Job, const TaskRecord &Task) const;
@@ -100,6 +101,8 @@
   std::map<UpstreamId, std::unique_ptr<UpstreamRecord>> Upstreams;
   std::map<PoolId, std::vector<UpstreamRecord *>> ByPool;
   std::map<OrganisationId, Resources> InUse;
+  /// What inherited tasks may use on upstreams that have not answered.
+  std::map<OrganisationId, Resources> Unseen;
   std::map<QueueId, LearnedTimes> Learned;
   std::vector<Order> Orders;
   std::set<JobId> ChangedJobs;
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -32,16 +32,19 @@
 /// Reads around a loss of the table's history can be this old.
 constexpr seconds UnknownJobsTime{12};
 
+/// \returns when the last holder had given its last order.
+Instant lastOrderOf(const Succession &From) {
+  return From.Before == Predecessor::MayOrder
+             ? std::max(From.PredecessorUntil, From.ClaimSentAt)
+             : From.ClaimSentAt;
+}
+
 SchedulerOptions schedulerOptions(const HolderParts &Parts,
-                                  const OwnershipTimes &Times,
                                   const Succession &From) {
-  // Leases of upstreams run on clocks that may be 2% slow.
-  Duration Unseen = Parts.Settings.Bounds.LongestHold * 51 / 50 + seconds(1);
-  if (From.Before == Predecessor::MayOrder)
-    Unseen += Times.Lease;
   return {.Bounds = Parts.Settings.Bounds,
           .Term = From.Term,
-          .InheritedUntil = From.ClaimSentAt + Unseen,
+          .InheritedUntil = lastOrderOf(From) +
+                            UpstreamLink::longestLapse(Parts.Settings.Bounds),
           .UnknownJobsUntil = From.ClaimSentAt + UnknownJobsTime};
 }
 
@@ -50,25 +53,23 @@
 Holder::Holder(HolderParts Parts, OwnershipTimes Times, Succession From)
     : Parts(Parts), Times(Times), From(From),
       Ownership(Times, From.Token, From.ClaimSentAt),
-      Plan(schedulerOptions(Parts, Times, From)), Decide(Parts.Executor),
+      Plan(schedulerOptions(Parts, From)), Decide(Parts.Executor),
       Store(Parts.Executor),
       Context(std::make_shared<LinkContext>(
           LinkContext{Parts.Executor, Parts.Clock, this->Plan, this->Ownership,
                       this->Decide, this->Parts.Settings.Bounds})),
-      Keeper(std::make_shared<VmKeeper>(
-          VmKeeperParts{.Executor = Parts.Executor,
-              .Clock = Parts.Clock,
-              .Store = Parts.Store,
-              .Source = Parts.Source,
-              .Vms = Parts.Vms,
-              .Settings = Parts.Settings,
-              .Plan = this->Plan,
-              .Ownership = this->Ownership,
-              .Decide = this->Decide,
-              .Figures = Parts.Figures},
-             From.Before == Predecessor::MayOrder
-                 ? From.ClaimSentAt + Times.Lease
-                 : From.ClaimSentAt)) {}
+      Keeper(
+          std::make_shared<VmKeeper>(VmKeeperParts{.Executor = Parts.Executor,
+                                                   .Clock = Parts.Clock,
+                                                   .Store = Parts.Store,
+                                                   .Source = Parts.Source,
+                                                   .Vms = Parts.Vms,
+                                                   .Settings = Parts.Settings,
+                                                   .Plan = this->Plan,
+                                                   .Ownership = this->Ownership,
+                                                   .Decide = this->Decide,
+                                                   .Figures = Parts.Figures},
+                                     lastOrderOf(From))) {}
 
 void Holder::run() {
   const auto Self = this->shared_from_this();
@@ -117,11 +118,11 @@
   // accepted after the claim.
   const bool MayBeStarted =
       this->From.Before == Predecessor::MayOrder &&
-      Now < schedulerOptions(this->Parts, this->Times, this->From)
-                .InheritedUntil;
+      Now < schedulerOptions(this->Parts, this->From).InheritedUntil;
   const bool Inherited = Change.Version < this->From.Token || MayBeStarted;
   // The time of day may have jumped: only an inherited job's age is trusted.
-  const Instant AcceptedAt = Change.Version < this->From.Token ? Now - milliseconds(AgeMs) : Now;
+  const Instant AcceptedAt =
+      Change.Version < this->From.Token ? Now - milliseconds(AgeMs) : Now;
   std::optional<JobProgress> Known;
   if (Progress)
     Known = *Progress;
@@ -345,8 +346,7 @@
 Async<void> Holder::storeOnce() {
   const std::vector<ProgressChange> Changes = this->Plan.takeProgress();
   for (std::size_t Done = 0; Done < Changes.size();) {
-    const std::size_t Count =
-        std::min(MostRowsTogether, Changes.size() - Done);
+    const std::size_t Count = std::min(MostRowsTogether, Changes.size() - Done);
     const std::span Batch(Changes.data() + Done, Count);
     if (!co_await this->storeBatch(Batch))
       co_return;
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -36,6 +36,7 @@
   int Term = 0;
   Predecessor Before = Predecessor::None;
   Instant ClaimSentAt{};
+  Instant PredecessorUntil{}; ///< It gives no orders later than this.
 };
 
 class Holder : public std::enable_shared_from_this<Holder> {
--- a/packages/site/src/ownershipkeeper.cpp
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr milliseconds CallLimit{800};
+/// Shorter, so that a silent way to the table is left in time.
+constexpr milliseconds RenewalLimit{650};
 constexpr milliseconds ProbeLimit{300};
 /// Claims of several daemons are spread over this time.
 constexpr int ClaimSpreadMs = 120;
@@ -58,7 +60,7 @@
   Change.Writes.push_back(
       {ownershipKey(), encodeOwnership(this->ownRow(this->Term))});
   const auto Outcome =
-      co_await this->Parts.Store.transact(std::move(Change), CallLimit);
+      co_await this->Parts.Store.transact(std::move(Change), RenewalLimit);
   if (!this->Held || !Outcome)
     co_return; // The lease runs on; the next look tries again.
   if (Outcome->Applied) {
@@ -169,7 +171,8 @@
   this->StartHolding({.Token = Token,
                       .Term = Mine.Term,
                       .Before = Before,
-                      .ClaimSentAt = SentAt});
+                      .ClaimSentAt = SentAt,
+                      .PredecessorUntil = this->Watch.predecessorUntil()});
 }
 
 Async<void> OwnershipKeeper::release() {
--- a/packages/site/src/unixtime.h
+++ b/packages/site/src/unixtime.h
@@ -14,8 +14,8 @@
 
 /// Row that only a claim writes: its version is the fencing token.
 RowKey epochKey();
-/// Row that every transaction on progress rewrites: one that is carried out late
-/// can't undo a newer one.
+/// Row that every transaction on progress rewrites: one that is carried out
+/// late can't undo a newer one.
 RowKey progressHeadKey();
 /// Row that names the holder and changes with each renewal.
 RowKey ownershipKey();
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -57,6 +57,12 @@
   return !this->Closed && !this->Context->Stopped;
 }
 
+Duration UpstreamLink::longestLapse(const SiteBounds &Bounds) {
+  const Duration Lease = std::min<Duration>(Bounds.LongestHold, LeaseTime);
+  return Duration(std::int64_t(double(Lease.count()) / SlowClock)) +
+         LapseMargin;
+}
+
 std::int64_t UpstreamLink::leaseUntil(Instant Now) const {
   const Duration Longest = Duration(std::int64_t(
       LeaseShare * double(this->Context->Bounds.LongestHold.count())));
@@ -68,8 +74,7 @@
 
 bool UpstreamLink::leaseHasRunOut(Instant Now) const {
   if (!this->ClockKnown)
-    return Now - this->LastSentAt >
-           this->Context->Bounds.LongestHold * 51 / 50 + LapseMargin;
+    return Now - this->LastSentAt > longestLapse(this->Context->Bounds);
   const double Passed =
       SlowClock * double((Now - this->ClockReadAt - LapseMargin).count());
   return double(this->ClockMs) + Passed / 1000 > double(this->LongestLeaseMs);
--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -29,6 +29,8 @@
 
   /// Holds the lease and takes in listings until the link is closed.
   void run();
+  /// \returns the longest time from an order until its lease has run out.
+  static Duration longestLapse(const SiteBounds &Bounds);
   void close() { this->Closed = true; }
   bool closed() const { return this->Closed; }
   const UpstreamReport &report() const { return this->Report; }
--- a/packages/site/src/vmkeeper.cpp
+++ b/packages/site/src/vmkeeper.cpp
@@ -62,9 +62,8 @@
 Async<void> VmKeeper::run() {
   while (!this->Stopped) {
     const Instant Now = this->Parts.Clock.now();
-    const bool Quiet = Now < this->QuietUntil;
     const bool Idle = !this->hasOpenWave() && !this->hasStandby();
-    if (Quiet || Idle || !this->Parts.Ownership.mayOrder(Now)) {
+    if (Idle || !this->Parts.Ownership.mayOrder(Now)) {
       co_await pauseFor(IdleInterval);
       continue;
     }
@@ -74,6 +73,7 @@
 }
 
 Async<void> VmKeeper::look() {
+  const Instant AskedAt = this->Parts.Clock.now();
   auto Listed = co_await this->Parts.Vms.list(ListLimit);
   if (this->Stopped)
     co_return;
@@ -82,7 +82,10 @@
     co_return;
   }
   this->Vms = std::move(*Listed);
+  this->retireReplaced(AskedAt);
   this->refreshMoves();
+  if (this->Parts.Clock.now() < this->QuietUntil)
+    co_return;
   for (auto &[Number, Wave] : this->Waves) {
     if (Wave.Completed)
       continue;
@@ -98,6 +101,17 @@
     co_await this->movePools();
 }
 
+void VmKeeper::retireReplaced(Instant AskedAt) {
+  // The registry keeps entries of ended lives for some time; a VM runs one.
+  for (const UpstreamId &Id : this->Parts.Plan.silentSince(AskedAt)) {
+    const bool Runs = std::ranges::any_of(
+        this->Vms, [&](const VmRecord &Vm) { return Vm.Upstream == Id; });
+    if (!Runs)
+      this->Parts.Plan.retireUpstream(Id, "no VM runs it",
+                                      this->Parts.Clock.now());
+  }
+}
+
 void VmKeeper::refresh(WaveProgress &Wave) {
   const Instant Now = this->Parts.Clock.now();
   for (auto &[Id, Progress] : Wave.Vms) {
--- a/packages/site/src/vmkeeper.h
+++ b/packages/site/src/vmkeeper.h
@@ -75,6 +75,7 @@
   std::vector<PoolView> poolViews() const;
   Async<void> movePools();
   Async<void> moveVm(VmId Vm);
+  void retireReplaced(Instant AskedAt);
   void refreshMoves();
   void logPools(Instant Now);
   /// \returns whether the move of \p Id is over or did not happen.
--- a/packages/site/src/vmmoves.cpp
+++ b/packages/site/src/vmmoves.cpp
@@ -77,8 +77,7 @@
     return true; // It was taken away for good.
   if (!Move.Ordered)
     return false;
-  const bool OtherLife =
-      !Vm->Upstream.empty() && Vm->Upstream != Move.Upstream;
+  const bool OtherLife = !Vm->Upstream.empty() && Vm->Upstream != Move.Upstream;
   const bool Away =
       Vm->State != VmState::Up || OtherLife || Vm->Pool == Move.To;
   if (Away && !Move.SeenAway) {
@@ -141,10 +140,8 @@
     if (!Vm || this->Parts.Plan.loadOf(Vm->Upstream).Runs > 0)
       continue; // A task came meanwhile.
     this->Parts.Plan.cordon(Vm->Upstream, true);
-    this->Moves[Each.Vm] = {.To = Each.To,
-                            .Upstream = Vm->Upstream,
-                            .Since = Now,
-                            .Ordered = true};
+    this->Moves[Each.Vm] = {
+        .To = Each.To, .Upstream = Vm->Upstream, .Since = Now, .Ordered = true};
     spawn(this->Parts.Executor, "vm-move",
           [this, Kept = this->shared_from_this(), Id = Each.Vm] {
             return this->moveVm(Id);
@@ -152,8 +149,8 @@
   }
   // An order without an answer is repeated: it is carried out only once.
   for (auto &[Id, Move] : this->Moves) {
-    const bool Silent = Move.Ordered && !Move.Answered &&
-                        Now - Move.Since > 2 * OrderLimit;
+    const bool Silent =
+        Move.Ordered && !Move.Answered && Now - Move.Since > 2 * OrderLimit;
     if (!Silent)
       continue;
     Move.Since = Now;
