Tests of the scheduler, plans and ownership; strong daemons give the orders

Cause: on the grown sites the holder could be a VM with 0.12 of a core and 10 Mbit/s: after a loss of power it took too long to load (RECOVER, LOST).

Change: daemons list their strength; one that is outranked by half lets others claim for 0.9 s.

--- /dev/null
+++ b/packages/ownership/tests/ownership_test.cpp
@@ -0,0 +1,98 @@
+#include "sardinerill/ownership/ownership.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace sardinerill;
+using namespace sardinerill::site;
+
+namespace {
+
+Instant at(std::int64_t Millis) { return Instant(milliseconds(Millis)); }
+
+const OwnershipRow Row{.Holder = "a", .Incarnation = "1", .Term = 3};
+
+} // namespace
+
+TEST_CASE("a row survives encoding") {
+  const auto Read = decodeOwnership(encodeOwnership(Row));
+  REQUIRE(Read.has_value());
+  CHECK(*Read == Row);
+  CHECK_FALSE(decodeOwnership("{}").has_value());
+  CHECK_FALSE(decodeOwnership("\xff").has_value());
+}
+
+TEST_CASE("a row is claimed only after silence through answered reads") {
+  OwnershipWatch Watch{OwnershipTimes{}};
+  CHECK_FALSE(Watch.mayClaim()); // Nothing was read yet.
+  for (int Time = 0; Time <= 1500; Time += 500)
+    Watch.observe(7, Row, at(Time), at(Time + 5));
+  CHECK_FALSE(Watch.mayClaim());
+  for (int Time = 2000; Time <= 2500; Time += 500)
+    Watch.observe(7, Row, at(Time), at(Time + 5));
+  CHECK(Watch.mayClaim());
+  CHECK(Watch.predecessor() == Predecessor::MayOrder);
+}
+
+TEST_CASE("an outage of the table proves nothing about the holder") {
+  OwnershipWatch Watch{OwnershipTimes{}};
+  Watch.observe(7, Row, at(0), at(5));
+  Watch.observe(7, Row, at(6000), at(6005)); // No answers in between.
+  CHECK_FALSE(Watch.mayClaim());
+}
+
+TEST_CASE("a refused connection shortens the wait but is no proof of an end") {
+  // trouble-1 at Fleece: a zone cut that answers with resets.
+  OwnershipWatch Watch{OwnershipTimes{}};
+  Watch.observe(7, Row, at(0), at(5));
+  Watch.holderRefuses(true);
+  CHECK_FALSE(Watch.mayClaim());
+  Watch.observe(7, Row, at(600), at(605));
+  Watch.observe(7, Row, at(1200), at(1205));
+  CHECK(Watch.mayClaim());
+  CHECK(Watch.predecessor() == Predecessor::MayOrder);
+}
+
+TEST_CASE("another process in its place, or a release, is an end") {
+  OwnershipWatch Watch{OwnershipTimes{}};
+  Watch.observe(7, Row, at(0), at(5));
+  Watch.holderIsGone("1");
+  CHECK(Watch.mayClaim());
+  CHECK(Watch.predecessor() == Predecessor::None);
+  OwnershipRow Next = Row;
+  Next.Incarnation = "2";
+  Watch.observe(8, Next, at(10), at(15));
+  CHECK_FALSE(Watch.mayClaim());
+  Next.Released = true;
+  Watch.observe(9, Next, at(20), at(25));
+  CHECK(Watch.mayClaim());
+}
+
+TEST_CASE("an older answer that was overtaken is ignored") {
+  OwnershipWatch Watch{OwnershipTimes{}};
+  Watch.observe(9, Row, at(0), at(5));
+  OwnershipRow Old = Row;
+  Old.Released = true;
+  Watch.observe(8, Old, at(1), at(9));
+  CHECK_FALSE(Watch.mayClaim());
+}
+
+TEST_CASE("property: no two holders order unless the later one knows") {
+  // A holder whose renewals stop at any moment, with any delay of answers: a
+  // claimant that thinks the predecessor's orders are over must be right.
+  rc::check([] {
+    const OwnershipTimes Times;
+    const auto SentAt = *rc::gen::inRange(0, 3000);
+    const auto Delay = *rc::gen::inRange(1, 800);
+    HeldOwnership Held(Times, 1, at(SentAt));
+    OwnershipWatch Watch(Times);
+    const int Committed = SentAt + *rc::gen::inRange(0, Delay);
+    for (int Time = Committed; Time < Committed + 6000; Time += 500) {
+      Watch.observe(1, Row, at(Time), at(Time + Delay));
+      if (Watch.mayClaim())
+        break;
+    }
+    RC_ASSERT(Watch.mayClaim());
+    RC_ASSERT_FALSE(Held.mayOrder(Watch.predecessorUntil()));
+  });
+}
--- /dev/null
+++ b/packages/scheduling/tests/plans_test.cpp
@@ -0,0 +1,160 @@
+#include "pacing.h"
+#include "sardinerill/scheduling/poolplan.h"
+#include "sardinerill/scheduling/waveplan.h"
+#include "waitingorder.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace sardinerill;
+using namespace sardinerill::site;
+
+namespace {
+
+constexpr std::int64_t VmCpu = 64000;
+
+Instant at(std::int64_t Millis) { return Instant(milliseconds(Millis)); }
+
+PoolView poolOf(const std::string &Id, int Vms, std::int64_t Demand,
+                int RunsOnEach = 0) {
+  PoolView Pool{.Id = PoolId(Id), .DemandCpuMilli = Demand};
+  for (int Index = 0; Index < Vms; ++Index)
+    Pool.Vms.push_back({.Id = VmId(Id + std::to_string(Index)),
+                        .Takes = true,
+                        .Runs = RunsOnEach});
+  return Pool;
+}
+
+WaveView waveOf(int Vms, int AtOnce) {
+  WaveView View{.CpuMilliOfVm = VmCpu,
+                .MaxAtOnce = AtOnce,
+                .Deadline = at(30000)};
+  View.Pools[PoolId("p")] = {.CpuMilli = Vms * VmCpu, .VmsInService = Vms};
+  for (int Index = 0; Index < Vms; ++Index)
+    View.Vms.push_back({.Id = VmId("vm" + std::to_string(Index)),
+                        .Pool = PoolId("p"),
+                        .Up = true,
+                        .MayInterrupt = true});
+  return View;
+}
+
+} // namespace
+
+TEST_CASE("a pool in its peak is given idle VMs; its peak is not undone") {
+  std::map<PoolId, PoolMemory> Memory;
+  PoolView Standby = poolOf("standby", 8, 0);
+  Standby.Standby = true;
+  const std::vector<PoolView> Pools{poolOf("peak", 9, 20 * VmCpu, 5),
+                                    poolOf("trough", 9, VmCpu / 2), Standby};
+  const PoolSteps Steps = planPools(Pools, Memory, VmCpu, at(1000));
+  const auto ToPeak = std::ranges::count_if(Steps.Moves, [](const PoolMove &M) {
+    return M.To == PoolId("peak");
+  });
+  // All 8 of the standby pool; the trough keeps 4 of 9: 0.4 of the mean.
+  CHECK(ToPeak == 13);
+  for (const PoolMove &Move : Steps.Moves)
+    CHECK(Move.From != PoolId("peak"));
+  // Half a second later the demand has dropped for a moment: nothing leaves.
+  PoolView Emptied = poolOf("standby", 0, 0);
+  Emptied.Standby = true;
+  const std::vector<PoolView> Dip{poolOf("peak", 22, 15 * VmCpu, 5),
+                                  poolOf("trough", 4, VmCpu / 2), Emptied};
+  CHECK(planPools(Dip, Memory, VmCpu, at(1500)).Moves.empty());
+}
+
+TEST_CASE("VMs with tasks that last or on maintenance stay where they are") {
+  std::map<PoolId, PoolMemory> Memory;
+  PoolView Trough = poolOf("trough", 9, 0);
+  for (PoolVm &Vm : Trough.Vms)
+    Vm.LastingRuns = 1;
+  Trough.Vms[0].LastingRuns = 0;
+  Trough.Vms[0].Free = false;
+  const std::vector<PoolView> Pools{poolOf("peak", 3, 20 * VmCpu, 5), Trough};
+  const PoolSteps Steps = planPools(Pools, Memory, VmCpu, at(1000));
+  CHECK(Steps.Moves.empty());
+  CHECK(Steps.Empty.empty());
+}
+
+TEST_CASE("property: a VM has one move, and VMs at work are not moved") {
+  rc::check([] {
+    std::map<PoolId, PoolMemory> Memory;
+    std::vector<PoolView> Pools;
+    const int Count = *rc::gen::inRange(2, 6);
+    for (int Index = 0; Index < Count; ++Index) {
+      Pools.push_back(poolOf("p" + std::to_string(Index) + "-",
+                             *rc::gen::inRange(0, 12),
+                             *rc::gen::inRange(0, 30) * VmCpu));
+      for (PoolVm &Vm : Pools.back().Vms)
+        Vm.Runs = *rc::gen::inRange(0, 3);
+    }
+    Pools.back().Standby = *rc::gen::arbitrary<bool>();
+    const PoolSteps Steps = planPools(Pools, Memory, VmCpu, at(1000));
+    std::set<VmId> Seen;
+    for (const PoolMove &Move : Steps.Moves) {
+      RC_ASSERT(Seen.insert(Move.Vm).second);
+      RC_ASSERT(Move.From != Move.To);
+      for (const PoolView &Pool : Pools)
+        for (const PoolVm &Vm : Pool.Vms)
+          if (Vm.Id == Move.Vm)
+            RC_ASSERT(Vm.Runs == 0);
+    }
+  });
+}
+
+TEST_CASE("a wave keeps to its limit and takes empty VMs first") {
+  WaveView View = waveOf(10, 3);
+  View.Vms[4].Stage = WaveStage::Ordered;
+  View.Vms[5].Stage = WaveStage::Preparing;
+  View.Vms[5].Runs = 0;
+  View.Vms[6].UsedCpuMilli = 1000;
+  const WaveSteps Steps = planWave(View, at(1000));
+  CHECK(Steps.TakeDown == std::vector<VmId>{VmId("vm5")});
+  CHECK(Steps.Prepare.size() == 1);
+  CHECK(Steps.Prepare[0] == VmId("vm0"));
+}
+
+TEST_CASE("a pool in its peak keeps its VMs until time gets short") {
+  WaveView View = waveOf(10, 3);
+  View.Pools[PoolId("p")].DemandCpuMilli = 15 * VmCpu;
+  CHECK(planWave(View, at(1000)).Prepare.empty());
+  CHECK_FALSE(planWave(View, at(20000)).Prepare.empty());
+}
+
+TEST_CASE("property: a wave never has more than its limit away") {
+  rc::check([] {
+    WaveView View = waveOf(*rc::gen::inRange(1, 12), *rc::gen::inRange(1, 5));
+    int Away = 0;
+    for (WaveVm &Vm : View.Vms) {
+      Vm.Stage = static_cast<WaveStage>(*rc::gen::inRange(0, 4));
+      Vm.Up = *rc::gen::arbitrary<bool>();
+      Vm.Runs = *rc::gen::inRange(0, 2);
+      Vm.MayInterrupt = *rc::gen::arbitrary<bool>();
+      Away += Vm.Stage == WaveStage::Ordered;
+    }
+    const WaveSteps Steps = planWave(View, at(*rc::gen::inRange(0, 40000)));
+    if (!Steps.TakeDown.empty())
+      RC_ASSERT(Away + int(Steps.TakeDown.size()) <= View.MaxAtOnce);
+    for (const VmId &Down : Steps.TakeDown)
+      for (const WaveVm &Vm : View.Vms)
+        if (Vm.Id == Down)
+          RC_ASSERT(Vm.Runs == 0 || Vm.MayInterrupt);
+  });
+}
+
+TEST_CASE("fill is cut at once and comes back in steps") {
+  CHECK(nextPace(100, 1.1) == 0);
+  CHECK(nextPace(100, 0.95) == 50);
+  CHECK(nextPace(50, 0.8) == 50);
+  CHECK(nextPace(50, 0.5) == 70);
+  CHECK(nextPace(95, 0.0) == 100);
+}
+
+TEST_CASE("work that can be in time goes before work that is late") {
+  const WaitingWork Soon{.RemainingCpuSeconds = 50, .AcceptedAt = at(5)};
+  const WaitingWork Late{.CanBeInTime = false, .AcceptedAt = at(1)};
+  CHECK(goesBefore(Soon, Late));
+  CHECK_FALSE(goesBefore(Late, Soon));
+  const WaitingWork Urgent{.Priority = -1, .CanBeInTime = false};
+  CHECK(goesBefore(Urgent, Soon));
+}
--- /dev/null
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -0,0 +1,289 @@
+#include "testsite.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace sardinerill;
+using namespace sardinerill::site;
+using namespace sardinerill::site::testing;
+
+namespace {
+
+const JobId Job("0123456789abcdef");
+
+TaskId task(int Step, int Index) { return {Job, 0, Step, Index}; }
+
+} // namespace
+
+TEST_CASE("a job runs its steps in order and is shown once it is stored") {
+  TestSite Site;
+  Site.add("u1", 8000);
+  Site.submit(jobOf(Job.str(), {stepOf(2, 1000, 500), stepOf(1, 1000, 500, {0})}));
+  CHECK((Site.Plan.stateOf(Job) == JobState::Queued));
+  CHECK(Site.decide().size() == 2);
+  CHECK((Site.Plan.stateOf(Job) == JobState::Running));
+  Site.advance(600);
+  const auto Second = Site.decide();
+  REQUIRE(Second.size() == 1);
+  CHECK(Second[0].Run.Task == task(1, 0));
+  Site.advance(600);
+  CHECK((Site.Plan.stateOf(Job) == JobState::Running)); // Not stored yet.
+  Site.storeAll();
+  CHECK((Site.Plan.stateOf(Job) == JobState::Completed));
+}
+
+TEST_CASE("no upstream is given more than it holds") {
+  TestSite Site;
+  Site.add("u1", 3000);
+  Site.add("u2", 2000);
+  Site.submit(jobOf(Job.str(), {stepOf(10, 1000, 500)}));
+  CHECK(Site.decide().size() == 5);
+  CHECK(Site.usedCpu("u1") == 3000);
+  CHECK(Site.usedCpu("u2") == 2000);
+}
+
+TEST_CASE("an end is acknowledged only after its progress is stored") {
+  TestSite Site;
+  FakeUpstream &Upstream = Site.add("u1", 8000);
+  Site.submit(jobOf(Job.str(), {stepOf(2, 1000, 500)}));
+  Site.decide();
+  Site.advance(600);
+  CHECK(Site.Plan.acknowledged(Upstream.Report.Id) == 0);
+  Site.storeAll();
+  CHECK(Site.Plan.acknowledged(Upstream.Report.Id) == 2);
+}
+
+TEST_CASE("a failed run that the next holder sees again counts once") {
+  // scale-1 at Ingoma: three failures, the first listed to both holders, were
+  // counted as four, and the job was shown as failed.
+  TestSite First;
+  FakeUpstream &Upstream = First.add("u1", 8000);
+  First.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}));
+  const auto Starts = First.decide();
+  REQUIRE(Starts.size() == 1);
+  Upstream.end(Starts[0].Run, RunEnd::Failed);
+  First.list(Upstream);
+  const auto Changes = First.Plan.takeProgress();
+  REQUIRE(Changes.size() == 1);
+  const auto Stored = decodeProgress(Changes[0].Text);
+  REQUIRE(Stored.has_value());
+
+  TestSite Second({.Term = 1});
+  Second.Plan.addJob(jobOf(Job.str(), {stepOf(1, 1000, 500)}), *Stored, true,
+                     at(1000), at(1000));
+  FakeUpstream &Same = Second.add("u1", 8000);
+  Same.Ended = Upstream.Ended;
+  Second.list(Same);
+  const auto Again = Second.Plan.takeProgress();
+  CHECK(Again.empty());
+}
+
+TEST_CASE("a job fails after its attempts, and no earlier") {
+  TestSite Site;
+  FakeUpstream &Upstream = Site.add("u1", 8000);
+  Site.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}));
+  for (int Attempt = 1; Attempt <= 3; ++Attempt) {
+    CHECK((Site.Plan.stateOf(Job) != JobState::Failed));
+    const auto Starts = Site.decide();
+    REQUIRE(Starts.size() == 1);
+    CHECK(Starts[0].Run.Number == Attempt);
+    Upstream.end(Starts[0].Run, RunEnd::Failed);
+    Site.list(Upstream);
+    Site.NowMs += 100;
+  }
+  Site.storeAll();
+  CHECK((Site.Plan.stateOf(Job) == JobState::Failed));
+  CHECK(Site.decide().empty());
+}
+
+TEST_CASE("a start without an answer counts as running until it is barred") {
+  TestSite Site;
+  FakeUpstream &Silent = Site.add("u1", 8000);
+  Site.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}));
+  Silent.Silent = true;
+  REQUIRE(Site.decide().size() == 1);
+  Site.add("u2", 8000);
+  Site.NowMs += 1000;
+  CHECK(Site.decide().empty()); // It may run on u1 now or later.
+  CHECK(Site.usedCpu("u1") == 1000);
+  Silent.Silent = false;
+  const RunId Run{task(0, 0), 1};
+  Site.Plan.stopAnswered(Silent.Report.Id, Run, StopOutcome::Taken,
+                         at(Site.NowMs));
+  Site.NowMs += 10;
+  Site.list(Silent);
+  const auto Next = Site.decide();
+  REQUIRE(Next.size() == 1);
+  CHECK(Next[0].Run.Number == 2);
+}
+
+TEST_CASE("what may run on silent upstreams is not started again") {
+  // Replayed hunt at Ingoma: a holder that took over started a job whose run
+  // had ended on an upstream that had not answered yet.
+  TestSite Site({.Term = 1, .InheritedUntil = at(5000)});
+  Site.add("u1", 8000);
+  UpstreamReport Unheard = Site.Upstreams.at("u1").Report;
+  Unheard.Id = UpstreamId("u2");
+  Site.Plan.reportUpstream(Unheard, at(Site.NowMs));
+  Site.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}), true);
+  CHECK(Site.decide().empty());
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(1, 1000, 500)}), false);
+  CHECK(Site.decide().size() == 1); // Accepted after the claim.
+  Site.NowMs = 5001;
+  const auto Starts = Site.decide();
+  REQUIRE(Starts.size() == 1);
+  CHECK(Starts[0].Run.Task.Job == Job);
+  CHECK(Starts[0].Run.Number > 64); // No number of the last holder.
+}
+
+TEST_CASE("ends of jobs that are not known yet stay with the upstream") {
+  TestSite Site({.UnknownJobsUntil = at(20000)});
+  FakeUpstream &Upstream = Site.add("u1", 8000);
+  Upstream.Ended.push_back({1, {task(0, 0), 1}, RunEnd::Done, ""});
+  Site.list(Upstream);
+  CHECK(Site.Plan.acknowledged(Upstream.Report.Id) == 0);
+  Site.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}));
+  Site.list(Upstream);
+  Site.storeAll();
+  CHECK((Site.Plan.stateOf(Job) == JobState::Completed));
+  CHECK(Site.Plan.acknowledged(Upstream.Report.Id) == 1);
+}
+
+TEST_CASE("a life that ended is not taken back from a late registry entry") {
+  TestSite Site;
+  const UpstreamReport Report = Site.add("u1", 8000).Report;
+  Site.Plan.retireUpstream(Report.Id, "test", at(2000));
+  Site.Plan.reportUpstream(Report, at(2100));
+  CHECK(Site.Plan.upstreams().empty());
+  UpstreamReport Next = Report;
+  Next.BornMs = 2;
+  Site.Plan.reportUpstream(Next, at(2200));
+  CHECK(Site.Plan.upstreams().size() == 1);
+}
+
+TEST_CASE("a lost upstream's tasks start elsewhere; a cancelled job's do not") {
+  TestSite Site;
+  Site.add("u1", 8000);
+  Site.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}));
+  Site.decide();
+  Site.add("u2", 8000);
+  Site.Plan.loseUpstream(UpstreamId("u1"), "test", at(Site.NowMs));
+  CHECK(Site.decide().size() == 1);
+  Site.Plan.cancelJob(Job, at(Site.NowMs));
+  Site.Plan.loseUpstream(UpstreamId("u2"), "test", at(Site.NowMs));
+  Site.add("u3", 8000);
+  CHECK(Site.decide().empty());
+  Site.storeAll();
+  CHECK((Site.Plan.stateOf(Job) == JobState::Cancelled));
+}
+
+TEST_CASE("a ceiling counts what inherited tasks may use unseen") {
+  TestSite Site({.Term = 1, .InheritedUntil = at(5000)});
+  Site.Configuration.Organisations[0].Ceiling = {3000, 0, 0};
+  Site.Plan.configure(Site.Configuration);
+  Site.add("u1", 8000);
+  UpstreamReport Unheard = Site.Upstreams.at("u1").Report;
+  Unheard.Id = UpstreamId("u2");
+  Site.Plan.reportUpstream(Unheard, at(Site.NowMs));
+  Site.submit(jobOf(Job.str(), {stepOf(2, 1000, 500)}), true);
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(3, 1000, 500)}), false);
+  CHECK(Site.decide().size() == 1);
+}
+
+TEST_CASE("a gang starts whole or not at all, with one number") {
+  TestSite Site;
+  Site.add("u1", 2000);
+  StepSpec Gang = stepOf(3, 1000, 500);
+  Gang.Gang = true;
+  Site.submit(jobOf(Job.str(), {Gang}));
+  CHECK(Site.decide().empty());
+  Site.add("u2", 2000);
+  const auto Starts = Site.decide();
+  REQUIRE(Starts.size() == 3);
+  for (const StartOrder &Start : Starts)
+    CHECK(Start.Run.Number == Starts[0].Run.Number);
+}
+
+TEST_CASE("budgets: one task that lasts is moved at a time") {
+  TestSite Site;
+  Site.DurationMs = 1000000;
+  StepSpec Lasting = stepOf(2, 1000, 500);
+  Lasting.LongRunning = true;
+  Lasting.MaxPerUpstream = 1;
+  Lasting.MaxUnavailable = 1;
+  Site.add("u1", 8000);
+  Site.add("u2", 8000);
+  Site.submit(jobOf(Job.str(), {Lasting}));
+  REQUIRE(Site.decide().size() == 2);
+  for (auto &[Id, Each] : Site.Upstreams)
+    for (auto &[Run, State] : Each.Running)
+      State.second = 100;
+  Site.advance(10);
+  Site.advance(800); // Both have settled.
+  CHECK(Site.Plan.mayInterrupt(UpstreamId("u1"), at(Site.NowMs)));
+  Site.Plan.evacuate(UpstreamId("u1"), at(Site.NowMs));
+  CHECK_FALSE(Site.Plan.mayInterrupt(UpstreamId("u2"), at(Site.NowMs)));
+  Site.Plan.evacuate(UpstreamId("u2"), at(Site.NowMs));
+  Site.decide();
+  CHECK(Site.Upstreams.at("u2").Running.size() == 1);
+}
+
+TEST_CASE("a task that is silent on its upstream is not counted as at work") {
+  // trouble-1 at Fleece: the others of a step were on a rack that had gone dark.
+  TestSite Site;
+  Site.DurationMs = 1000000;
+  StepSpec Lasting = stepOf(2, 1000, 500);
+  Lasting.LongRunning = true;
+  Lasting.MaxPerUpstream = 1;
+  Lasting.MaxUnavailable = 1;
+  Site.add("u1", 8000);
+  Site.add("u2", 8000);
+  Site.submit(jobOf(Job.str(), {Lasting}));
+  REQUIRE(Site.decide().size() == 2);
+  for (auto &[Id, Each] : Site.Upstreams)
+    for (auto &[Run, State] : Each.Running)
+      State.second = 100;
+  Site.advance(10);
+  Site.Upstreams.at("u2").Silent = true;
+  Site.advance(1000);
+  Site.advance(1000);
+  CHECK_FALSE(Site.Plan.mayInterrupt(UpstreamId("u1"), at(Site.NowMs)));
+}
+
+TEST_CASE("property: no task runs twice, whatever gets lost") {
+  rc::check([] {
+    TestSite Site;
+    Site.add("u1", 4000);
+    Site.add("u2", 4000);
+    Site.add("u3", 4000);
+    int Jobs = 0;
+    const auto Actions =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
+    for (const int Action : Actions) {
+      const std::string Id = "u" + std::to_string(1 + Action % 3);
+      FakeUpstream &Upstream = Site.Upstreams.at(Id);
+      if (Action < 30)
+        Site.submit(jobOf("job" + std::to_string(Jobs++),
+                          {stepOf(1 + Action % 4, 1000, 300),
+                           stepOf(1, 500, 300, {0})}));
+      else if (Action < 40)
+        Upstream.Silent = !Upstream.Silent;
+      else if (Action < 50 && !Upstream.Running.empty())
+        Upstream.end(Upstream.Running.begin()->first, RunEnd::Failed);
+      else if (Action < 60)
+        Site.storeAll();
+      else
+        Site.advance(Action);
+      Site.decide();
+      std::map<TaskId, int> Running;
+      for (const auto &[Name, Each] : Site.Upstreams)
+        for (const auto &[Run, State] : Each.Running)
+          RC_ASSERT(++Running[Run.Task] == 1);
+      for (const auto &[Name, Each] : Site.Upstreams) {
+        const auto Used = std::int64_t(Site.usedCpu(Name));
+        RC_ASSERT(Used >= 0);
+        RC_ASSERT(Used <= 4000);
+      }
+    }
+  });
+}
--- /dev/null
+++ b/packages/scheduling/tests/testsite.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include "sardinerill/scheduling/scheduler.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+/// \file
+/// A small site for tests: upstreams that run what they are told, on a clock
+/// that the test moves.
+
+namespace sardinerill::site::testing {
+
+inline Instant at(std::int64_t Millis) { return Instant(milliseconds(Millis)); }
+
+inline QueueSettings queueOf(const std::string &Pool) {
+  return {.Id = QueueId("queue-" + Pool),
+          .Host = "host",
+          .PathPrefix = "/" + Pool + "/",
+          .Pool = PoolId(Pool),
+          .MaxAttempts = 3,
+          .Stretch = 1.6,
+          .LatencyTarget = milliseconds(600)};
+}
+
+inline StepSpec stepOf(int Count, std::int64_t Cpu, int Millis,
+                       std::vector<int> After = {}) {
+  return {.Count = Count,
+          .Need = {Cpu, 100, 0},
+          .Estimate = milliseconds(Millis),
+          .After = std::move(After)};
+}
+
+inline JobSpec jobOf(const std::string &Id, std::vector<StepSpec> Steps,
+                     const std::string &Pool = "pool",
+                     const std::string &Organisation = "org") {
+  return {.Id = JobId(Id),
+          .Queue = queueOf(Pool),
+          .Organisation = OrganisationId(Organisation),
+          .Payload = "payload",
+          .Steps = std::move(Steps)};
+}
+
+/// One upstream as a test plays it.
+struct FakeUpstream {
+  UpstreamReport Report;
+  std::int64_t Token = 1;
+  std::map<RunId, std::pair<std::int64_t, int>> Running; ///< End, percent.
+  std::vector<EndedRun> Ended;
+  std::set<RunId> Barred;
+  std::int64_t LastSequence = 0;
+  bool Silent = false;
+
+  RunListing listing(std::int64_t NowMs) const {
+    RunListing Listing{.ClockMs = NowMs, .BornMs = this->Report.BornMs};
+    for (const auto &[Run, State] : this->Running)
+      Listing.Active.push_back(
+          {.Run = Run, .Checkpoint = "", .Percent = State.second});
+    Listing.Ended = this->Ended;
+    return Listing;
+  }
+
+  void end(RunId Run, RunEnd How) {
+    if (this->Running.erase(Run))
+      this->Ended.push_back({++this->LastSequence, Run, How, ""});
+  }
+};
+
+/// Scheduler and upstreams together.
+class TestSite {
+public:
+  explicit TestSite(SchedulerOptions Options = {}) : Plan(Options) {
+    this->Configuration.Version = 1;
+    for (const char *Pool : {"pool", "other"}) {
+      this->Configuration.Queues.push_back(queueOf(Pool));
+      this->Configuration.Pools[PoolId(Pool)] = {.Id = PoolId(Pool)};
+    }
+    this->Configuration.Organisations.push_back(
+        {.Id = OrganisationId("org"), .Keys = {"key"}});
+    this->Plan.configure(this->Configuration);
+  }
+
+  FakeUpstream &add(const std::string &Id, std::int64_t Cpu,
+                    const std::string &Pool = "pool") {
+    FakeUpstream &Added = this->Upstreams[Id];
+    Added.Report = {.Id = UpstreamId(Id),
+                    .Pool = PoolId(Pool),
+                    .Address = "127.0.0.1:1",
+                    .Vm = VmId("vm-" + Id),
+                    .BornMs = 1,
+                    .Capacity = {Cpu, 100000, 0},
+                    .Labels = {"a", "rack-" + Id}};
+    this->Plan.reportUpstream(Added.Report, at(this->NowMs));
+    this->list(Added);
+    return Added;
+  }
+
+  void submit(JobSpec Spec, bool Inherited = false) {
+    this->Plan.addJob(std::move(Spec), std::nullopt, Inherited,
+                      at(this->NowMs), at(this->NowMs));
+  }
+
+  void list(FakeUpstream &From) {
+    if (!From.Silent)
+      this->Plan.listRuns(From.Report.Id, From.listing(this->NowMs),
+                          at(this->NowMs), at(this->NowMs));
+  }
+
+  /// Decides and carries out all orders; \returns the starts.
+  std::vector<StartOrder> decide() {
+    this->Plan.decide(at(this->NowMs), this->NowMs);
+    std::vector<StartOrder> Starts;
+    for (const Order &Each : this->Plan.takeOrders()) {
+      if (const auto *Start = std::get_if<StartOrder>(&Each)) {
+        Starts.push_back(*Start);
+        this->carryOut(*Start);
+      } else if (const auto *Stop = std::get_if<StopOrder>(&Each)) {
+        this->carryOut(*Stop);
+      }
+    }
+    this->StartCount += int(Starts.size());
+    return Starts;
+  }
+
+  /// Lets time pass; tasks end after their estimate.
+  void advance(std::int64_t Millis) {
+    this->NowMs += Millis;
+    for (auto &[Id, Each] : this->Upstreams) {
+      std::vector<RunId> Over;
+      for (auto &[Run, State] : Each.Running) {
+        if (State.first <= this->NowMs)
+          Over.push_back(Run);
+        ++State.second; // Some progress at each look.
+      }
+      for (const RunId &Run : Over)
+        Each.end(Run, RunEnd::Done);
+      this->list(Each);
+    }
+  }
+
+  void storeAll() {
+    for (const ProgressChange &Change : this->Plan.takeProgress())
+      this->Plan.progressStored(Change.Job, Change.Revision);
+  }
+
+  /// \returns runs of \p Task on all upstreams.
+  int running(const TaskId &Task) const {
+    int Count = 0;
+    for (const auto &[Id, Each] : this->Upstreams)
+      for (const auto &[Run, State] : Each.Running)
+        Count += Run.Task == Task;
+    return Count;
+  }
+
+  std::int64_t usedCpu(const std::string &Id) {
+    return this->Plan.loadOf(UpstreamId(Id)).Used.CpuMilli;
+  }
+
+  Scheduler Plan;
+  SiteConfiguration Configuration;
+  std::map<std::string, FakeUpstream> Upstreams;
+  std::int64_t NowMs = 1000;
+  int StartCount = 0;
+  int DurationMs = 500; ///< Run time of each task.
+
+private:
+  void carryOut(const StartOrder &Start) {
+    FakeUpstream &Where = this->Upstreams.at(Start.Where.str());
+    if (Where.Silent) {
+      this->Plan.startAnswered(Start.Where, Start.Run, StartOutcome::Unknown,
+                               at(this->NowMs));
+      return;
+    }
+    Where.Running[Start.Run] = {this->NowMs + this->DurationMs, 0};
+    this->Plan.startAnswered(Start.Where, Start.Run, StartOutcome::Accepted,
+                             at(this->NowMs));
+  }
+
+  void carryOut(const StopOrder &Stop) {
+    FakeUpstream &Where = this->Upstreams.at(Stop.Where.str());
+    if (Where.Silent)
+      return;
+    Where.end(Stop.Run, RunEnd::Stopped);
+    this->Plan.stopAnswered(Stop.Where, Stop.Run, StopOutcome::Taken,
+                            at(this->NowMs));
+  }
+};
+
+} // namespace sardinerill::site::testing
--- a/packages/site/include/sardinerill/site/sitesettings.h
+++ b/packages/site/include/sardinerill/site/sitesettings.h
@@ -23,6 +23,9 @@
   int VmReadsPerSecond = 1;
   int VmOrdersPerSecond = 1;
   bool FirstStart = false;
+  /// What the VM can carry, to choose who gives the orders; the weaker of its
+  /// processor (cores in percent) and its link (Mbit/s).
+  double Strength = 1;
   friend bool operator==(const SiteSettings &, const SiteSettings &) = default;
 };
 
--- a/packages/site/src/ownershipkeeper.cpp
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds ProbeLimit{300};
 /// Claims of several daemons are spread over this time.
 constexpr int ClaimSpreadMs = 120;
+/// How long a daemon lets much stronger ones claim first.
+constexpr milliseconds YieldTime{900};
 
 } // namespace
 
@@ -131,8 +133,17 @@
     else if (!this->Watch.mayClaim())
       co_await this->probeHolder();
   }
-  if (this->Watch.mayClaim() && !this->Releasing)
+  if (!this->Watch.mayClaim() || this->Releasing) {
+    this->ClaimableSince = {};
+    co_return;
+  }
+  const Instant Now = this->Parts.Clock.now();
+  if (this->ClaimableSince == Instant{})
+    this->ClaimableSince = Now;
+  // The strong are given time to claim first; who is weak still serves.
+  if (!this->MayBeOutranked() || Now - this->ClaimableSince >= YieldTime)
     co_await this->claim();
+
 }
 
 Async<void> OwnershipKeeper::claim() {
--- a/packages/site/src/ownershipkeeper.h
+++ b/packages/site/src/ownershipkeeper.h
@@ -20,6 +20,10 @@
                   std::function<void()> StopHolding);
 
   Async<void> run();
+  /// \param Outranked whether much stronger daemons may claim as well.
+  void setOutranked(std::function<bool()> Outranked) {
+    this->MayBeOutranked = std::move(Outranked);
+  }
   /// Looks at the row at once; another daemon has news of it.
   void lookNow() { this->Look.notify(); }
   /// Gives the right up as planned and claims it no more.
@@ -50,6 +54,8 @@
   int Term = 0;
   bool Releasing = false;
   std::unique_ptr<HttpClient> HolderDoor;
+  std::function<bool()> MayBeOutranked = [] { return false; };
+  Instant ClaimableSince{};
 };
 
 } // namespace sardinerill::site
--- a/packages/site/src/peerdoor.cpp
+++ b/packages/site/src/peerdoor.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <sstream>
 
 namespace sardinerill::site {
 
@@ -19,11 +20,13 @@
 constexpr std::string_view DirectoryPartition = "d";
 /// Times between two looks at the list of daemons: while it may still grow
 /// after the start, and later.
-constexpr seconds FirstLooks{2};
+constexpr milliseconds FirstLooks{600};
 constexpr seconds LaterLooks{6};
 constexpr int CountOfFirstLooks = 4;
 constexpr milliseconds CallLimit{900};
 constexpr milliseconds RetryPause{300};
+/// A peer this many times stronger should give the orders instead.
+constexpr double MuchStronger = 1.5;
 
 HttpRequest plain(std::string_view Method, std::string Target) {
   return {.Method = std::string(Method), .Target = std::move(Target)};
@@ -108,7 +111,8 @@
   Transaction Change;
   Change.Writes.push_back({{std::string(DirectoryTable),
                             std::string(DirectoryPartition), this->Name},
-                           this->Own.str()});
+                           this->Own.str() + " " +
+                               std::to_string(this->Strength)});
   const auto Outcome =
       co_await this->Store.transact(std::move(Change), CallLimit);
   co_return Outcome && Outcome->Applied;
@@ -122,10 +126,18 @@
   if (!Page)
     co_return;
   std::vector<Endpoint> Found;
+  this->Stronger = 0;
+  ++this->Looks;
   for (const Row &Read : Page->Rows) {
-    const Endpoint Where = Endpoint::parse(Read.Value);
-    if (Where.valid() && Where != this->Own)
-      Found.push_back(Where);
+    std::istringstream Fields(Read.Value);
+    std::string Address;
+    double Theirs = 0;
+    Fields >> Address >> Theirs;
+    const Endpoint Where = Endpoint::parse(Address);
+    if (!Where.valid() || Where == this->Own)
+      continue;
+    Found.push_back(Where);
+    this->Stronger += Theirs > MuchStronger * this->Strength;
   }
   // Each daemon begins its list elsewhere, so that they spread over it.
   if (!Found.empty())
@@ -142,7 +154,8 @@
     co_await pauseFor(RetryPause);
   for (int Look = 0;; ++Look) {
     co_await this->refresh();
-    co_await pauseFor(Look < CountOfFirstLooks ? FirstLooks : LaterLooks);
+    co_await pauseFor(Look < CountOfFirstLooks ? Duration(FirstLooks)
+                                               : Duration(LaterLooks));
   }
 }
 
--- a/packages/site/src/peerdoor.h
+++ b/packages/site/src/peerdoor.h
@@ -49,12 +49,19 @@
 /// A row for each daemon, so that the others find it.
 class PeerDirectory {
 public:
-  PeerDirectory(IStore &Store, std::string Name, Endpoint Own)
-      : Store(Store), Name(std::move(Name)), Own(Own) {}
+  /// \param LooksNeeded looks at the list until it is taken for complete.
+  PeerDirectory(IStore &Store, std::string Name, Endpoint Own, double Strength,
+                int LooksNeeded)
+      : Store(Store), Name(std::move(Name)), Own(Own), Strength(Strength),
+        LooksNeeded(LooksNeeded) {}
 
   /// Registers this daemon and keeps the list of the others fresh.
   Async<void> run();
   const std::vector<Endpoint> &peers() const { return this->Peers; }
+  /// \returns whether a much stronger daemon is known, or may still show up.
+  bool mayBeOutranked() const {
+    return this->Looks < this->LooksNeeded || this->Stronger > 0;
+  }
 
 private:
   Async<bool> registerSelf();
@@ -63,7 +70,11 @@
   IStore &Store;
   std::string Name;
   Endpoint Own;
+  double Strength;
+  int LooksNeeded;
+  int Looks = 0; ///< That were answered.
   std::vector<Endpoint> Peers;
+  int Stronger = 0;
 };
 
 } // namespace sardinerill::site
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -30,6 +30,8 @@
 constexpr milliseconds PeerNoticeLimit{200};
 constexpr milliseconds StopPoll{50};
 constexpr std::size_t IncarnationBytes = 8;
+/// All daemons start within 0.3 s: a second look at their list shows them all.
+constexpr int LooksOfFirstStart = 2;
 
 } // namespace
 
@@ -83,13 +85,17 @@
       Jobs(Context.get_executor(), *this->Platform.Store, this->Clock,
            *this->Figures),
       Directory(*this->Platform.Store, this->Settings.Name,
-                this->Settings.PeerDoor),
+                this->Settings.PeerDoor, this->Settings.Strength,
+                this->Settings.FirstStart ? LooksOfFirstStart : 1),
       Keeper(
           this->holderParts(), this->Incarnation,
           [this](const Succession &From) { this->startHolding(From); },
           [this] { this->stopHolding(); }),
       Callers(this->deskParts()), Signals(Context, SIGTERM, SIGINT, SIGHUP),
-      Peers(this->peerDoorParts()) {}
+      Peers(this->peerDoorParts()) {
+  this->Keeper.setOutranked(
+      [this] { return this->Directory.mayBeOutranked(); });
+}
 
 HolderParts SiteDaemon::State::holderParts() {
   return {.Executor = this->Context.get_executor(),
