Decisions cost less, and an organisation's excess waits behind others

Change: the most that is free in a pool is looked up once a round; the loop rests twice as long as a decision took; jobs beyond an organisation's share a second wait behind others.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -47,6 +47,15 @@
   return InForce ? *InForce : Job.Spec.Queue;
 }
 
+bool Scheduler::State::exceedsShare(const JobRecord &Job) {
+  const OrganisationSettings *Settings =
+      this->Configuration.organisation(Job.Spec.Organisation);
+  if (!Settings || Settings->Share <= 0)
+    return false;
+  return !this->Arrivals[Job.Spec.Organisation].take(Settings->Share,
+                                                     Job.AcceptedAt);
+}
+
 void Scheduler::State::changed(JobRecord &Job) {
   ++Job.Revision;
   this->ChangedJobs.insert(Job.Spec.Id);
@@ -108,6 +117,8 @@
   Job->Spec = std::move(Spec);
   Job->Inherited = Inherited;
   Job->AcceptedAt = AcceptedAt;
+  Job->EstimatedChain = longestChain(Job->Spec, 1.0);
+  Job->OverShare = this->Inner->exceedsShare(*Job);
   if (Progress)
     Job->State = Progress->State;
   if (Job->ended()) {
@@ -306,6 +317,7 @@
     Inner.layOutDue(*Inner.Jobs.at(Id), UnixMs);
   Inner.replaceStuckRuns(Now);
   Inner.countUnseenUse(Now);
+  Inner.MostFree.clear();
   std::vector<WaitingStep> Waiting = Inner.waitingSteps(Now);
   std::ranges::stable_sort(Waiting, goesBefore, &WaitingStep::Work);
   for (const WaitingStep &Step : Waiting)
--- a/packages/scheduling/src/schedulerplacing.cpp
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -52,7 +52,8 @@
   const auto Learned = this->Learned.find(Job.Spec.Queue.Id);
   const double Factor =
       Learned == this->Learned.end() ? 1.0 : Learned->second.Factor;
-  const Duration Chain = longestChain(Job.Spec, Factor);
+  const Duration Chain(
+      std::int64_t(Factor * double(Job.EstimatedChain.count())));
   const Duration Allowed =
       Duration(std::int64_t(Queue.Stretch * double(Chain.count()))) +
       Queue.LatencyTarget;
@@ -60,6 +61,7 @@
   const Duration Left = remainingChain(Job.Spec, Occurrence, Factor);
   return {.Priority = Queue.Priority,
           .CanBeInTime = Now + Left <= Objective,
+          .OverShare = Job.OverShare,
           .RemainingCpuSeconds =
               remainingCpuSeconds(Job.Spec, Occurrence, Factor),
           .Objective = Objective,
@@ -134,6 +136,24 @@
          Within(Total.Accelerators, Settings->Ceiling.Accelerators);
 }
 
+bool Scheduler::State::mayFit(const PoolId &Pool, const Resources &Need) {
+  auto Known = this->MostFree.find(Pool);
+  if (Known == this->MostFree.end()) {
+    Resources Most;
+    for (const UpstreamRecord *Each : this->ByPool[Pool]) {
+      if (!Each->Answered || !Each->Listed || Each->Report.Draining ||
+          Each->Cordoned)
+        continue;
+      const Resources Free = Each->free();
+      Most.CpuMilli = std::max(Most.CpuMilli, Free.CpuMilli);
+      Most.MemoryMb = std::max(Most.MemoryMb, Free.MemoryMb);
+      Most.Accelerators = std::max(Most.Accelerators, Free.Accelerators);
+    }
+    Known = this->MostFree.emplace(Pool, Most).first;
+  }
+  return Need.fitsIn(Known->second);
+}
+
 UpstreamRecord *Scheduler::State::choose(const PlacementQuestion &Question) {
   const auto Found = this->ByPool.find(Question.Pool);
   if (Found == this->ByPool.end())
@@ -211,6 +231,8 @@
                           Spec.Need +
                               this->unseenUse(Waiting.Job->Spec.Organisation)))
     return false;
+  if (!this->mayFit(Waiting.Queue->Pool, chargedTo(Spec)))
+    return false;
   UpstreamRecord *Where =
       this->choose({.Step = &Spec,
                     .Record = &Record,
@@ -218,8 +240,10 @@
                     .Task = &Task,
                     .NeedsTicket = Waiting.Queue->NeedsAdvice,
                     .Now = Now});
-  if (!Where)
+  if (!Where) {
+    this->MostFree.erase(Waiting.Queue->Pool);
     return false;
+  }
   this->start(*Where, Waiting, Index, this->nextNumber(*Waiting.Job, Task),
               Now);
   return true;
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -3,6 +3,7 @@
 #include "sardinerill/scheduling/scheduler.h"
 
 #include "placement.h"
+#include "shares.h"
 #include "schedulermodel.h"
 #include "waitingorder.h"
 
@@ -45,6 +46,7 @@
   JobRecord *job(const JobId &Id);
   TaskRecord *task(const TaskId &Id);
   const StepSpec *spec(const TaskId &Id);
+  bool exceedsShare(const JobRecord &Job);
   const QueueSettings &settingsOf(const JobRecord &Job) const;
   void changed(JobRecord &Job);
   void endJob(JobRecord &Job, JobState State, std::string_view Reason,
@@ -75,6 +77,7 @@
   bool placeGang(const WaitingStep &Waiting, Instant Now);
   bool placeTask(const WaitingStep &Waiting, int Index, Instant Now);
   UpstreamRecord *choose(const PlacementQuestion &Question);
+  bool mayFit(const PoolId &Pool, const Resources &Need);
   bool underCeiling(const OrganisationId &Organisation,
                     const Resources &More) const;
   void countUnseenUse(Instant Now);
@@ -104,6 +107,11 @@
   /// What inherited tasks may use on upstreams that have not answered.
   std::map<OrganisationId, Resources> Unseen;
   std::map<QueueId, LearnedTimes> Learned;
+  std::map<OrganisationId, ShareMeter> Arrivals;
+  /// The most that is free on one upstream of a pool; looked up once a round,
+  /// and again when a task found no place: most work of a full pool needs no
+  /// search for it.
+  std::map<PoolId, Resources> MostFree;
   std::vector<Order> Orders;
   std::set<JobId> ChangedJobs;
   std::map<UpstreamId, std::int64_t> Retired; ///< Births of ended lives.
--- a/packages/scheduling/src/waitingorder.cpp
+++ b/packages/scheduling/src/waitingorder.cpp
@@ -6,7 +6,7 @@
 
 bool goesBefore(const WaitingWork &Left, const WaitingWork &Right) {
   const auto Rank = [](const WaitingWork &Work) {
-    return std::tuple(Work.Priority, !Work.CanBeInTime, Work.OverShare);
+    return std::tuple(Work.Priority, Work.OverShare, !Work.CanBeInTime);
   };
   if (Rank(Left) != Rank(Right))
     return Rank(Left) < Rank(Right);
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -22,6 +22,9 @@
 constexpr milliseconds DecisionInterval{100};
 /// News that come within this time are decided together.
 constexpr milliseconds DecisionDelay{2};
+/// Rest after a decision, as a multiple of its cost, and its upper bound.
+constexpr int RestPerDecision = 2;
+constexpr milliseconds LongestRest{150};
 constexpr milliseconds StoreLimit{900};
 /// Rows in one transaction, which takes 100 entries.
 constexpr std::size_t MostRowsTogether = 90;
@@ -308,6 +311,11 @@
     for (Order &Wanted : this->Plan.takeOrders())
       this->carryOut(Wanted);
     this->Store.notify();
+    // Leaves most of the processor to answers, leases and the feed, however
+    // long a decision takes.
+    const Duration Cost = this->Parts.Clock.now() - Now;
+    this->Parts.Figures.observe("decision", "all", Cost);
+    co_await pauseFor(std::min<Duration>(Cost * RestPerDecision, LongestRest));
   }
 }
 
