Unheard upstreams are not taken for empty; begun jobs keep their place

Change: loads say whether they are certain; a job that has begun is late only when it is behind by 0.4 of its objective.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -34,6 +34,8 @@
 };
 
 struct UpstreamLoad {
+  /// Whether it has answered this holder lately: the rest is certain.
+  bool Heard = false;
   int Runs = 0;
   int LastingRuns = 0;
   Resources Used;
@@ -80,7 +82,7 @@
                       Instant Now);
   /// \returns upstreams reported before \p Before that have never answered.
   std::vector<UpstreamId> silentSince(Instant Before) const;
-  UpstreamLoad loadOf(const UpstreamId &Id) const;
+  UpstreamLoad loadOf(const UpstreamId &Id, Instant Now) const;
   /// Takes in what an upstream lists.
   /// \param SentAt when the question was sent.
   void listRuns(const UpstreamId &Id, const RunListing &Listing, Instant SentAt,
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -179,7 +179,7 @@
   return Silent;
 }
 
-UpstreamLoad Scheduler::loadOf(const UpstreamId &Id) const {
+UpstreamLoad Scheduler::loadOf(const UpstreamId &Id, Instant Now) const {
   const auto Found = this->Inner->Upstreams.find(Id);
   if (Found == this->Inner->Upstreams.end())
     return {};
@@ -189,7 +189,10 @@
         const StepSpec *Step = this->Inner->spec(Entry.first.Task);
         return Step && Step->LongRunning;
       });
-  return {int(Upstream.Runs.size()), int(Lasting), Upstream.Used};
+  return {.Heard = this->Inner->isHeard(Upstream, Now),
+          .Runs = int(Upstream.Runs.size()),
+          .LastingRuns = int(Lasting),
+          .Used = Upstream.Used};
 }
 
 void Scheduler::reportUpstream(const UpstreamReport &Report, Instant Now) {
--- a/packages/scheduling/src/schedulercare.cpp
+++ b/packages/scheduling/src/schedulercare.cpp
@@ -30,12 +30,16 @@
 
 } // namespace
 
+bool Scheduler::State::isHeard(const UpstreamRecord &Upstream,
+                               Instant Now) const {
+  return Upstream.Answered && Now - Upstream.AnsweredAt < RecentAnswer;
+}
+
 bool Scheduler::State::isAtWork(const RunPtr &Candidate, Instant Now) const {
   const auto Where = this->Upstreams.find(Candidate->Where);
   return Candidate->Phase == RunPhase::Active && !Candidate->StopWanted &&
          Candidate->AtWorkSince && Now - *Candidate->AtWorkSince >= Settling &&
-         Where != this->Upstreams.end() &&
-         Now - Where->second->AnsweredAt < RecentAnswer;
+         Where != this->Upstreams.end() && this->isHeard(*Where->second, Now);
 }
 
 int Scheduler::State::unavailable(const JobRecord &Job, int Occurrence,
@@ -61,8 +65,8 @@
   if (!Step.LongRunning || Step.MaxUnavailable < 0)
     return true;
   const auto Where = this->Upstreams.find(Candidate->Where);
-  const bool Known = Where != this->Upstreams.end() &&
-                     Now - Where->second->AnsweredAt < RecentAnswer;
+  const bool Known =
+      Where != this->Upstreams.end() && this->isHeard(*Where->second, Now);
   if (Known && !Candidate->AtWorkSince)
     return true; // Not at work: ending it makes nothing worse.
   const int Away = this->unavailable(Job, Candidate->Id.Task.Occurrence,
@@ -146,7 +150,9 @@
 bool Scheduler::mayInterrupt(const UpstreamId &Id, Instant Now) const {
   const auto Found = this->Inner->Upstreams.find(Id);
   if (Found == this->Inner->Upstreams.end())
-    return true;
+    return Now >= this->Inner->Options.InheritedUntil;
+  if (!this->Inner->isHeard(*Found->second, Now))
+    return false; // What runs there is not known.
   std::map<std::tuple<JobId, int, int>, int> Ending;
   for (const auto &[RunKey, Candidate] : Found->second->Runs) {
     int &Also =
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -75,8 +75,8 @@
   Instant EndedAt{};
   bool Inherited = false;
   bool Started = false;
-  bool OverShare = false; ///< Beyond what its organisation may expect.
-  Duration EstimatedChain{}; ///< Longest, by the caller's estimates.
+  bool OverShare = false;          ///< Beyond what its organisation may expect.
+  Duration EstimatedChain{};       ///< Longest, by the caller's estimates.
   std::int64_t Revision = 0;       ///< Rises with each change to be stored.
   std::int64_t TakenRevision = 0;  ///< Handed out for storing.
   std::int64_t StoredRevision = 0; ///< Confirmed as stored.
--- a/packages/scheduling/src/schedulerplacing.cpp
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -13,6 +13,10 @@
 constexpr int NumbersPerTerm = 64;
 /// Upstreams that one question to the advisor may name.
 constexpr std::size_t MostCandidates = 30;
+/// A job that has begun is taken for late only when it is behind by this share
+/// of its objective: estimates are off by half, and what was begun is lost for
+/// others if it is not finished.
+constexpr double PatienceShare = 0.4;
 /// Tickets are not used in the last part of their validity.
 constexpr milliseconds TicketMargin{150};
 
@@ -59,8 +63,12 @@
       Queue.LatencyTarget;
   const Instant Objective = Job.AcceptedAt + Allowed;
   const Duration Left = remainingChain(Job.Spec, Occurrence, Factor);
+  const Duration Patience =
+      Job.Started
+          ? Duration(std::int64_t(PatienceShare * double(Allowed.count())))
+          : Duration{};
   return {.Priority = Queue.Priority,
-          .CanBeInTime = Now + Left <= Objective,
+          .CanBeInTime = Now + Left <= Objective + Patience,
           .OverShare = Job.OverShare,
           .RemainingCpuSeconds =
               remainingCpuSeconds(Job.Spec, Occurrence, Factor),
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -3,8 +3,8 @@
 #include "sardinerill/scheduling/scheduler.h"
 
 #include "placement.h"
-#include "shares.h"
 #include "schedulermodel.h"
+#include "shares.h"
 #include "waitingorder.h"
 
 /// \file
@@ -92,6 +92,7 @@
   void replaceStuckRuns(Instant Now);
   void paceFillers(UpstreamRecord &On, Instant Now);
   void preemptFor(const WaitingStep &Waiting, Instant Now);
+  bool isHeard(const UpstreamRecord &Upstream, Instant Now) const;
   bool isAtWork(const RunPtr &Candidate, Instant Now) const;
   int unavailable(const JobRecord &Job, int Occurrence, int Step,
                   Instant Now) const;
--- a/packages/scheduling/src/shares.h
+++ b/packages/scheduling/src/shares.h
@@ -22,9 +22,8 @@
     const double Passed =
         std::max(0.0, double((Arrival - this->FilledAt).count()) / 1e6);
     const double Most = std::max(1.0, PerSecond);
-    this->Tokens = this->IsNew
-                       ? Most
-                       : std::min(Most, this->Tokens + Passed * PerSecond);
+    this->Tokens =
+        this->IsNew ? Most : std::min(Most, this->Tokens + Passed * PerSecond);
     this->IsNew = false;
     this->FilledAt = std::max(this->FilledAt, Arrival);
     if (this->Tokens < 1.0)
--- a/packages/scheduling/tests/plans_test.cpp
+++ b/packages/scheduling/tests/plans_test.cpp
@@ -27,9 +27,8 @@
 }
 
 WaveView waveOf(int Vms, int AtOnce) {
-  WaveView View{.CpuMilliOfVm = VmCpu,
-                .MaxAtOnce = AtOnce,
-                .Deadline = at(30000)};
+  WaveView View{
+      .CpuMilliOfVm = VmCpu, .MaxAtOnce = AtOnce, .Deadline = at(30000)};
   View.Pools[PoolId("p")] = {.CpuMilli = Vms * VmCpu, .VmsInService = Vms};
   for (int Index = 0; Index < Vms; ++Index)
     View.Vms.push_back({.Id = VmId("vm" + std::to_string(Index)),
@@ -48,9 +47,8 @@
   const std::vector<PoolView> Pools{poolOf("peak", 9, 20 * VmCpu, 5),
                                     poolOf("trough", 9, VmCpu / 2), Standby};
   const PoolSteps Steps = planPools(Pools, Memory, VmCpu, at(1000));
-  const auto ToPeak = std::ranges::count_if(Steps.Moves, [](const PoolMove &M) {
-    return M.To == PoolId("peak");
-  });
+  const auto ToPeak = std::ranges::count_if(
+      Steps.Moves, [](const PoolMove &M) { return M.To == PoolId("peak"); });
   // All 8 of the standby pool; the trough keeps 4 of 9: 0.4 of the mean.
   CHECK(ToPeak == 13);
   for (const PoolMove &Move : Steps.Moves)
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -18,7 +18,8 @@
 TEST_CASE("a job runs its steps in order and is shown once it is stored") {
   TestSite Site;
   Site.add("u1", 8000);
-  Site.submit(jobOf(Job.str(), {stepOf(2, 1000, 500), stepOf(1, 1000, 500, {0})}));
+  Site.submit(
+      jobOf(Job.str(), {stepOf(2, 1000, 500), stepOf(1, 1000, 500, {0})}));
   CHECK((Site.Plan.stateOf(Job) == JobState::Queued));
   CHECK(Site.decide().size() == 2);
   CHECK((Site.Plan.stateOf(Job) == JobState::Running));
@@ -229,7 +230,8 @@
 }
 
 TEST_CASE("a task that is silent on its upstream is not counted as at work") {
-  // trouble-1 at Fleece: the others of a step were on a rack that had gone dark.
+  // trouble-1 at Fleece: the others of a step were on a rack that had gone
+  // dark.
   TestSite Site;
   Site.DurationMs = 1000000;
   StepSpec Lasting = stepOf(2, 1000, 500);
@@ -250,6 +252,22 @@
   CHECK_FALSE(Site.Plan.mayInterrupt(UpstreamId("u1"), at(Site.NowMs)));
 }
 
+TEST_CASE("an upstream that has not answered is not taken for empty") {
+  // trouble-2 at Ingoma: just after a takeover, VMs were moved whose tasks the
+  // new holder had not heard of.
+  TestSite Site({.Term = 1, .InheritedUntil = at(5000)});
+  const UpstreamReport Report = Site.add("u1", 8000).Report;
+  UpstreamReport Unheard = Report;
+  Unheard.Id = UpstreamId("u2");
+  Site.Plan.reportUpstream(Unheard, at(Site.NowMs));
+  CHECK(Site.Plan.loadOf(Report.Id, at(Site.NowMs)).Heard);
+  CHECK_FALSE(Site.Plan.loadOf(Unheard.Id, at(Site.NowMs)).Heard);
+  CHECK(Site.Plan.mayInterrupt(Report.Id, at(Site.NowMs)));
+  CHECK_FALSE(Site.Plan.mayInterrupt(Unheard.Id, at(Site.NowMs)));
+  CHECK_FALSE(Site.Plan.mayInterrupt(UpstreamId("u3"), at(Site.NowMs)));
+  CHECK_FALSE(Site.Plan.loadOf(Report.Id, at(Site.NowMs + 3000)).Heard);
+}
+
 TEST_CASE("property: no task runs twice, whatever gets lost") {
   rc::check([] {
     TestSite Site;
@@ -263,9 +281,9 @@
       const std::string Id = "u" + std::to_string(1 + Action % 3);
       FakeUpstream &Upstream = Site.Upstreams.at(Id);
       if (Action < 30)
-        Site.submit(jobOf("job" + std::to_string(Jobs++),
-                          {stepOf(1 + Action % 4, 1000, 300),
-                           stepOf(1, 500, 300, {0})}));
+        Site.submit(jobOf(
+            "job" + std::to_string(Jobs++),
+            {stepOf(1 + Action % 4, 1000, 300), stepOf(1, 500, 300, {0})}));
       else if (Action < 40)
         Upstream.Silent = !Upstream.Silent;
       else if (Action < 50 && !Upstream.Running.empty())
--- a/packages/scheduling/tests/testsite.h
+++ b/packages/scheduling/tests/testsite.h
@@ -97,8 +97,8 @@
   }
 
   void submit(JobSpec Spec, bool Inherited = false) {
-    this->Plan.addJob(std::move(Spec), std::nullopt, Inherited,
-                      at(this->NowMs), at(this->NowMs));
+    this->Plan.addJob(std::move(Spec), std::nullopt, Inherited, at(this->NowMs),
+                      at(this->NowMs));
   }
 
   void list(FakeUpstream &From) {
@@ -154,7 +154,7 @@
   }
 
   std::int64_t usedCpu(const std::string &Id) {
-    return this->Plan.loadOf(UpstreamId(Id)).Used.CpuMilli;
+    return this->Plan.loadOf(UpstreamId(Id), at(this->NowMs)).Used.CpuMilli;
   }
 
   Scheduler Plan;
--- a/packages/site/src/ownershipkeeper.cpp
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -143,7 +143,6 @@
   // The strong are given time to claim first; who is weak still serves.
   if (!this->MayBeOutranked() || Now - this->ClaimableSince >= YieldTime)
     co_await this->claim();
-
 }
 
 Async<void> OwnershipKeeper::claim() {
--- a/packages/site/src/peerdoor.cpp
+++ b/packages/site/src/peerdoor.cpp
@@ -109,10 +109,10 @@
 
 Async<bool> PeerDirectory::registerSelf() {
   Transaction Change;
-  Change.Writes.push_back({{std::string(DirectoryTable),
-                            std::string(DirectoryPartition), this->Name},
-                           this->Own.str() + " " +
-                               std::to_string(this->Strength)});
+  Change.Writes.push_back(
+      {{std::string(DirectoryTable), std::string(DirectoryPartition),
+        this->Name},
+       this->Own.str() + " " + std::to_string(this->Strength)});
   const auto Outcome =
       co_await this->Store.transact(std::move(Change), CallLimit);
   co_return Outcome && Outcome->Applied;
--- a/packages/site/src/vmkeeper.cpp
+++ b/packages/site/src/vmkeeper.cpp
@@ -178,15 +178,16 @@
     if (!Vm)
       continue;
     View.CpuMilliOfVm = std::max(View.CpuMilliOfVm, Vm->Capacity.CpuMilli);
-    const UpstreamLoad Load = this->Parts.Plan.loadOf(Vm->Upstream);
+    const UpstreamLoad Load = this->Parts.Plan.loadOf(Vm->Upstream, Now);
     View.Vms.push_back(
         {.Id = Id,
          .Pool = Vm->Pool,
          .Stage = Progress.Stage,
          .Up = Vm->State == VmState::Up && !this->Moves.contains(Id),
          .Standby = this->isStandby(Vm->Pool),
-         .Runs = Load.Runs,
-         .MayInterrupt = this->Parts.Plan.mayInterrupt(Vm->Upstream, Now),
+         .Runs = Load.Heard || this->isStandby(Vm->Pool) ? Load.Runs : 1,
+         .MayInterrupt = this->isStandby(Vm->Pool) ||
+                         this->Parts.Plan.mayInterrupt(Vm->Upstream, Now),
          .UsedCpuMilli = Load.Used.CpuMilli,
          .PreparingSince = Progress.Since});
   }
@@ -242,6 +243,7 @@
   const bool Repeated = Progress.Stage == WaveStage::Ordered;
   if (!Repeated) {
     const bool MayEnd =
+        this->isStandby(Vm->Pool) ||
         this->Parts.Plan.mayInterrupt(Upstream, this->Parts.Clock.now());
     if (!MayEnd)
       co_return;
--- a/packages/site/src/vmmoves.cpp
+++ b/packages/site/src/vmmoves.cpp
@@ -29,6 +29,7 @@
 }
 
 std::vector<PoolView> VmKeeper::poolViews() const {
+  const Instant Now = this->Parts.Clock.now();
   std::map<PoolId, PoolView> Views;
   for (const auto &[Id, Pool] : this->Configuration.Pools)
     Views[Id] = {.Id = Id, .Standby = Pool.Standby};
@@ -44,11 +45,12 @@
         ++Target->second.Arriving;
       continue;
     }
-    const UpstreamLoad Load = this->Parts.Plan.loadOf(Vm.Upstream);
+    const UpstreamLoad Load = this->Parts.Plan.loadOf(Vm.Upstream, Now);
+    const bool Certain = Load.Heard || this->isStandby(Vm.Pool);
     const bool Waved = this->inWave(Vm.Id);
     Pool->second.Vms.push_back({.Id = Vm.Id,
                                 .Takes = Vm.State == VmState::Up && !Waved,
-                                .Free = !Waved,
+                                .Free = !Waved && Certain,
                                 .Leaving = Move != this->Moves.end(),
                                 .Runs = Load.Runs,
                                 .LastingRuns = Load.LastingRuns,
@@ -137,7 +139,7 @@
     }
   for (const PoolMove &Each : Steps.Moves) {
     const VmRecord *Vm = this->record(Each.Vm);
-    if (!Vm || this->Parts.Plan.loadOf(Vm->Upstream).Runs > 0)
+    if (!Vm || this->Parts.Plan.loadOf(Vm->Upstream, Now).Runs > 0)
       continue; // A task came meanwhile.
     this->Parts.Plan.cordon(Vm->Upstream, true);
     this->Moves[Each.Vm] = {
