Jobs accepted after a claim need not wait for the last holder's leases

Change: a holder takes on jobs only within 1.6 s of its last renewal, less than any claimant waits; so the rows after the claim are certainly new.

--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -34,12 +34,15 @@
   Duration Lease = milliseconds(3600);
   /// Kept between the end of a lease as its holder and as others see it.
   Duration Margin = milliseconds(300);
+  /// A holder takes on no new jobs later than this after its last renewal, so
+  /// that a successor knows what it can't have started; below both silences.
+  Duration TakeOn = milliseconds(1600);
   /// Time between renewals.
   Duration Renewal = milliseconds(500);
   /// A row unchanged for this long, through answered reads, may be claimed.
   Duration Silence = milliseconds(2000);
   /// The same where the holder's address refuses connections.
-  Duration SilenceIfRefused = milliseconds(1100);
+  Duration SilenceIfRefused = milliseconds(1700);
   /// Longest gap between two answered reads that still prove silence.
   Duration ReadGap = milliseconds(1200);
 };
@@ -101,6 +104,8 @@
   void superseded() { this->Lost = true; }
 
   bool mayOrder(Instant Now) const;
+  /// \returns whether a job that was read now is older than any claim.
+  bool mayTakeOn(Instant Now) const;
   bool lost() const { return this->Lost; }
   std::int64_t token() const { return this->Token; }
 
--- a/packages/ownership/src/ownership.cpp
+++ b/packages/ownership/src/ownership.cpp
@@ -78,6 +78,10 @@
   this->RenewedAt = std::max(this->RenewedAt, SentAt);
 }
 
+bool HeldOwnership::mayTakeOn(Instant Now) const {
+  return !this->Lost && Now < this->RenewedAt + this->Times.TakeOn;
+}
+
 bool HeldOwnership::mayOrder(Instant Now) const {
   return !this->Lost &&
          Now < this->RenewedAt + this->Times.Lease - this->Times.Margin;
--- a/packages/ownership/tests/ownership_test.cpp
+++ b/packages/ownership/tests/ownership_test.cpp
@@ -47,8 +47,9 @@
   Watch.observe(7, Row, at(0), at(5));
   Watch.holderRefuses(true);
   CHECK_FALSE(Watch.mayClaim());
-  Watch.observe(7, Row, at(600), at(605));
-  Watch.observe(7, Row, at(1200), at(1205));
+  Watch.observe(7, Row, at(900), at(905));
+  CHECK_FALSE(Watch.mayClaim());
+  Watch.observe(7, Row, at(1800), at(1805));
   CHECK(Watch.mayClaim());
   CHECK(Watch.predecessor() == Predecessor::MayOrder);
 }
@@ -93,6 +94,10 @@
         break;
     }
     RC_ASSERT(Watch.mayClaim());
+    // What the holder reads when a claim may be sent is not taken on.
+    const bool Refuses = *rc::gen::arbitrary<bool>();
+    const Duration Silence = Refuses ? Times.SilenceIfRefused : Times.Silence;
+    RC_ASSERT_FALSE(Held.mayTakeOn(at(Committed) + Silence));
     RC_ASSERT_FALSE(Held.mayOrder(Watch.predecessorUntil()));
   });
 }
--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -3,6 +3,7 @@
 #include "sardinerill/scheduling/jobprogress.h"
 #include "sardinerill/scheduling/orders.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 
@@ -47,6 +48,16 @@
   std::int64_t CpuMilli = 0;
   /// The part of it that has to wait.
   std::int64_t WaitingCpuMilli = 0;
+  /// The part of tasks that last.
+  std::int64_t LastingCpuMilli = 0;
+  /// What work that arrives at the present rate keeps busy.
+  std::int64_t ArrivingCpuMilli = 0;
+
+  /// \returns what the pool needs now or soon.
+  std::int64_t expected() const {
+    return std::max(this->CpuMilli,
+                    this->LastingCpuMilli + this->ArrivingCpuMilli);
+  }
 };
 
 /// The scheduler of all pools that one holder orders. Has no clock and does no
@@ -115,7 +126,7 @@
   const std::map<UpstreamId, std::unique_ptr<UpstreamRecord>> &
   upstreams() const;
   const std::map<JobId, std::unique_ptr<JobRecord>> &jobs() const;
-  std::map<PoolId, PoolDemand> demand() const;
+  std::map<PoolId, PoolDemand> demand(Instant Now) const;
   /// Stops the tasks that last on \p Id whose budgets allow it, to be started
   /// elsewhere. \returns how many such tasks are left there.
   int evacuate(const UpstreamId &Id, Instant Now);
--- a/packages/scheduling/src/jobgraph.cpp
+++ b/packages/scheduling/src/jobgraph.cpp
@@ -69,6 +69,10 @@
   return Record;
 }
 
+bool isLasting(const JobSpec &Spec) {
+  return std::ranges::any_of(Spec.Steps, &StepSpec::LongRunning);
+}
+
 bool isReady(const JobSpec &Spec, const OccurrenceRecord &Occurrence,
              int Step) {
   return std::ranges::all_of(Spec.Steps[Step].After, [&](int Before) {
--- a/packages/scheduling/src/jobgraph.h
+++ b/packages/scheduling/src/jobgraph.h
@@ -11,6 +11,9 @@
 OccurrenceRecord layOut(const JobSpec &Spec, int Occurrence,
                         const JobProgress *Progress);
 
+/// \returns whether \p Spec has tasks that run until it is cancelled.
+bool isLasting(const JobSpec &Spec);
+
 /// \returns whether all steps before \p Step are done.
 bool isReady(const JobSpec &Spec, const OccurrenceRecord &Occurrence, int Step);
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -131,6 +131,10 @@
       for (const auto &[Number, Tasks] : Progress->Tasks)
         Job->Occurrences[Number] = layOut(Job->Spec, Number, &*Progress);
     Job->Started = Progress.has_value();
+    if (!Inherited && !Job->Occurrences.empty() && !isLasting(Job->Spec))
+      this->Inner->ArrivingWork[Job->Spec.Queue.Id].add(
+          remainingCpuSeconds(Job->Spec, Job->Occurrences.begin()->second, 1.0),
+          Now);
     this->Inner->LiveJobs.insert(Job->Spec.Id);
   }
   this->Inner->Jobs[Job->Spec.Id] = std::move(Job);
--- a/packages/scheduling/src/schedulerplacing.cpp
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -338,11 +338,12 @@
     Record.Tickets[Id] = {Ticket, Now + Validity - TicketMargin};
 }
 
-std::map<PoolId, PoolDemand> Scheduler::demand() const {
+std::map<PoolId, PoolDemand> Scheduler::demand(Instant Now) const {
   std::map<PoolId, PoolDemand> Demand;
   for (const JobId &Id : this->Inner->LiveJobs) {
     const JobRecord &Job = *this->Inner->Jobs.at(Id);
     PoolDemand &Pool = Demand[this->Inner->settingsOf(Job).Pool];
+    const bool Lasts = isLasting(Job.Spec);
     for (const auto &[Number, Occurrence] : Job.Occurrences)
       for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
         if (!isReady(Job.Spec, Occurrence, int(Step)))
@@ -352,11 +353,22 @@
           if (Task.Done)
             continue;
           Pool.CpuMilli += Cpu;
+          if (Lasts)
+            Pool.LastingCpuMilli += Cpu;
           if (Task.Runs.empty())
             Pool.WaitingCpuMilli += Cpu;
         }
       }
   }
+  for (const auto &[Queue, Meter] : this->Inner->ArrivingWork)
+    if (const QueueSettings *Settings =
+            this->Inner->Configuration.queue(Queue)) {
+      const auto Learned = this->Inner->Learned.find(Queue);
+      const double Factor =
+          Learned == this->Inner->Learned.end() ? 1.0 : Learned->second.Factor;
+      Demand[Settings->Pool].ArrivingCpuMilli +=
+          std::int64_t(Meter.at(Now) * Factor * 1000);
+    }
   return Demand;
 }
 
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -109,6 +109,7 @@
   std::map<OrganisationId, Resources> Unseen;
   std::map<QueueId, LearnedTimes> Learned;
   std::map<OrganisationId, ShareMeter> Arrivals;
+  std::map<QueueId, ArrivalMeter> ArrivingWork;
   /// The most that is free on one upstream of a pool; looked up once a round,
   /// and again when a task found no place: most work of a full pool needs no
   /// search for it.
--- a/packages/scheduling/src/shares.h
+++ b/packages/scheduling/src/shares.h
@@ -3,6 +3,7 @@
 #include "sardinerill/base/clock.h"
 
 #include <algorithm>
+#include <cmath>
 
 /// \file
 /// Shares of organisations in what arrives.
@@ -38,4 +39,27 @@
   Instant FilledAt{};
 };
 
+/// Rate of arriving work, forgotten with a time constant.
+class ArrivalMeter {
+public:
+  void add(double CpuSeconds, Instant Now) {
+    this->Rate = this->at(Now) + CpuSeconds / TimeConstant;
+    this->UpdatedAt = std::max(this->UpdatedAt, Now);
+  }
+
+  /// \returns processor seconds that arrive a second: the processors that the
+  /// work keeps busy in the mean.
+  double at(Instant Now) const {
+    const double Passed =
+        std::max(0.0, double((Now - this->UpdatedAt).count()) / 1e6);
+    return this->Rate * std::exp(-Passed / TimeConstant);
+  }
+
+private:
+  /// Seconds: long enough to smooth single jobs, short against a peak of 4 s.
+  static constexpr double TimeConstant = 0.8;
+  double Rate = 0;
+  Instant UpdatedAt{};
+};
+
 } // namespace sardinerill::site
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds RegistryInterval{500};
 constexpr milliseconds RegistryLimit{900};
 constexpr milliseconds RetryPause{100};
+constexpr milliseconds TakeOnPoll{20};
 /// Decisions are made at least this often, for what time alone brings.
 constexpr milliseconds DecisionInterval{100};
 /// News that come within this time are decided together.
@@ -117,12 +118,7 @@
     return;
   const std::int64_t AgeMs =
       std::max<std::int64_t>(0, unixMillis() - Change.Spec->AcceptedAtMs);
-  // A predecessor that may still order can have started a job that was
-  // accepted after the claim.
-  const bool MayBeStarted =
-      this->From.Before == Predecessor::MayOrder &&
-      Now < schedulerOptions(this->Parts, this->From).InheritedUntil;
-  const bool Inherited = Change.Version < this->From.Token || MayBeStarted;
+  const bool Inherited = Change.Version < this->From.Token;
   // The time of day may have jumped: only an inherited job's age is trusted.
   const Instant AcceptedAt =
       Change.Version < this->From.Token ? Now - milliseconds(AgeMs) : Now;
@@ -172,29 +168,40 @@
         [Self] { return Self->Keeper->run(); });
 }
 
+Async<void> Holder::takeOn(std::vector<JobChange> Changes) {
+  for (const JobChange &Change : Changes)
+    if (Change.Cancelled)
+      this->take(Change, nullptr);
+  // Without a recent renewal a successor may have claimed before these jobs
+  // were accepted; it would not expect them to run already.
+  while (!this->Context->Stopped &&
+         !this->Ownership.mayTakeOn(this->Parts.Clock.now()))
+    co_await pauseFor(TakeOnPoll);
+  for (const JobChange &Change : Changes)
+    if (!this->Context->Stopped)
+      this->take(Change, nullptr);
+  this->Decide.notify();
+}
+
 Async<void> Holder::followJobs() {
   while (!this->Context->Stopped) {
-    const auto Changes =
+    auto Changes =
         co_await this->Parts.Jobs.changes(this->JobsVersion, JobsWait);
     if (this->Context->Stopped)
       co_return;
     if (Changes) {
-      for (const JobChange &Change : *Changes)
-        this->take(Change, nullptr);
       if (!Changes->empty())
-        this->Decide.notify();
+        co_await this->takeOn(std::move(*Changes));
       continue;
     }
     if (Changes.error().Kind == ErrorKind::PlatformHistoryGone) {
       logEvent(LogLevel::Warning, "holder.history_gone",
                {{"version", std::to_string(this->JobsVersion)}});
-      if (const auto Stored = co_await this->Parts.Jobs.loadAll()) {
+      if (auto Stored = co_await this->Parts.Jobs.loadAll()) {
         if (this->Context->Stopped)
           co_return;
-        for (const JobChange &Change : Stored->Changes)
-          this->take(Change, nullptr);
         this->JobsVersion = Stored->Version;
-        this->Decide.notify();
+        co_await this->takeOn(std::move(Stored->Changes));
       }
     }
     co_await pauseFor(RetryPause);
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -67,6 +67,7 @@
   Async<void> storeOnce();
   Async<bool> storeBatch(std::span<const ProgressChange> Changes);
   Async<void> askAdvice(AdviceOrder Question);
+  Async<void> takeOn(std::vector<JobChange> Changes);
   void take(const JobChange &Change, const JobProgress *Progress);
   void take(const RegistryView &View);
   void carryOut(Order &Wanted);
--- a/packages/site/src/vmkeeper.cpp
+++ b/packages/site/src/vmkeeper.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Time between two looks at the VMs while there is something to do.
-constexpr milliseconds LookInterval{300};
+constexpr milliseconds LookInterval{200};
 constexpr milliseconds IdleInterval{300};
 constexpr milliseconds ListLimit{1500};
 constexpr milliseconds OrderLimit{1500};
@@ -147,6 +147,7 @@
 }
 
 std::map<PoolId, WavePool> VmKeeper::poolsNow() const {
+  const Instant Now = this->Parts.Clock.now();
   std::map<PoolId, WavePool> Pools;
   for (const VmRecord &Vm : this->Vms) {
     WavePool &Pool = Pools[Vm.Pool];
@@ -163,8 +164,8 @@
       ++Pool.VmsOutOfService;
     }
   }
-  for (const auto &[Id, Demand] : this->Parts.Plan.demand())
-    Pools[Id].DemandCpuMilli = Demand.CpuMilli;
+  for (const auto &[Id, Demand] : this->Parts.Plan.demand(Now))
+    Pools[Id].DemandCpuMilli = Demand.expected();
   return Pools;
 }
 
--- a/packages/site/src/vmmoves.cpp
+++ b/packages/site/src/vmmoves.cpp
@@ -56,9 +56,9 @@
                                 .LastingRuns = Load.LastingRuns,
                                 .UsedCpuMilli = Load.Used.CpuMilli});
   }
-  for (const auto &[Id, Demand] : this->Parts.Plan.demand())
+  for (const auto &[Id, Demand] : this->Parts.Plan.demand(Now))
     if (const auto Pool = Views.find(Id); Pool != Views.end())
-      Pool->second.DemandCpuMilli = Demand.CpuMilli;
+      Pool->second.DemandCpuMilli = Demand.expected();
   std::vector<PoolView> List;
   for (auto &[Id, View] : Views)
     List.push_back(std::move(View));
