Orders go on until a successor has claimed; holders hear of jobs at once

Change: a stopping holder stores that it leaves and goes on until it is superseded; partitions are read at the same time and ended jobs not decoded; the daemon that accepts a job tells the holder.

--- a/packages/http/src/httpserver.cpp
+++ b/packages/http/src/httpserver.cpp
@@ -131,6 +131,20 @@
     co_return !Fault;
   }
 
+  /// A handler that throws costs its own request only.
+  Async<HttpResponse> answer(HttpRequest Request) {
+    const std::string Target = Request.Target;
+    std::string Reason;
+    try {
+      co_return co_await this->Handler(std::move(Request));
+    } catch (const std::exception &Thrown) {
+      Reason = Thrown.what();
+    }
+    logEvent(LogLevel::Error, "http.handler_failed",
+             {{"target", Target}, {"reason", Reason}});
+    co_return HttpResponse{.Status = 500};
+  }
+
   Async<void> serve(beast::tcp_stream Stream) {
     auto Self = this->shared_from_this();
     beast::flat_buffer Buffer;
@@ -145,7 +159,7 @@
       }
       ++this->InFlight;
       const bool Wanted = Parser.get().keep_alive();
-      HttpResponse Answer = co_await this->Handler(fromBeast(Parser.get()));
+      HttpResponse Answer = co_await this->answer(fromBeast(Parser.get()));
       KeepAlive = Wanted && !this->Draining;
       const bool Written =
           co_await this->write(Stream, std::move(Answer), KeepAlive);
--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -22,7 +22,8 @@
   std::string Incarnation; ///< Of its process.
   std::string PeerAddress; ///< Where other daemons reach it.
   int Term = 0;            ///< Counts the claims.
-  bool Released = false;   ///< Given up as planned.
+  bool Leaving = false;  ///< Asks for a successor; goes on until there is one.
+  bool Released = false; ///< Given up as planned: its orders are over.
   friend bool operator==(const OwnershipRow &, const OwnershipRow &) = default;
 };
 
--- a/packages/ownership/src/ownership.cpp
+++ b/packages/ownership/src/ownership.cpp
@@ -8,11 +8,9 @@
 using nlohmann::json;
 
 std::string encodeOwnership(const OwnershipRow &Row) {
-  return json{{"holder", Row.Holder},
-              {"incarnation", Row.Incarnation},
-              {"address", Row.PeerAddress},
-              {"term", Row.Term},
-              {"released", Row.Released}}
+  return json{{"holder", Row.Holder},       {"incarnation", Row.Incarnation},
+              {"address", Row.PeerAddress}, {"term", Row.Term},
+              {"leaving", Row.Leaving},     {"released", Row.Released}}
       .dump();
 }
 
@@ -23,6 +21,7 @@
                         .Incarnation = Read.at("incarnation"),
                         .PeerAddress = Read.at("address"),
                         .Term = Read.at("term"),
+                        .Leaving = Read.at("leaving"),
                         .Released = Read.at("released")};
   } catch (const json::exception &Fault) {
     return makeError(ErrorKind::BadRequest, Fault.what());
@@ -60,7 +59,8 @@
 bool OwnershipWatch::mayClaim() const {
   if (!this->Known)
     return false;
-  if (this->Version == 0 || this->Gone || this->Row.Released)
+  if (this->Version == 0 || this->Gone || this->Row.Released ||
+      this->Row.Leaving)
     return true;
   // Counted to when the question was sent: the answer may have been on its way
   // for long.
--- a/packages/ownership/tests/ownership_test.cpp
+++ b/packages/ownership/tests/ownership_test.cpp
@@ -69,6 +69,15 @@
   CHECK(Watch.mayClaim());
 }
 
+TEST_CASE("a holder that leaves is followed at once, and may still order") {
+  OwnershipWatch Watch{OwnershipTimes{}};
+  OwnershipRow Leaving = Row;
+  Leaving.Leaving = true;
+  Watch.observe(7, Leaving, at(0), at(5));
+  CHECK(Watch.mayClaim());
+  CHECK(Watch.predecessor() == Predecessor::MayOrder);
+}
+
 TEST_CASE("an older answer that was overtaken is ignored") {
   OwnershipWatch Watch{OwnershipTimes{}};
   Watch.observe(9, Row, at(0), at(5));
--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -76,6 +76,8 @@
   /// \param Inherited whether an earlier holder may have started it.
   void addJob(JobSpec Spec, const std::optional<JobProgress> &Progress,
               bool Inherited, Instant AcceptedAt, Instant Now);
+  /// Takes in a job that ended under an earlier holder.
+  void addEndedJob(const JobId &Job, JobState State, Instant Now);
   void cancelJob(const JobId &Job, Instant Now);
   bool knows(const JobId &Job) const;
   /// \returns the state that may be shown; none for an unknown job.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -140,6 +140,16 @@
   this->Inner->Jobs[Job->Spec.Id] = std::move(Job);
 }
 
+void Scheduler::addEndedJob(const JobId &Job, JobState State, Instant Now) {
+  auto &Kept = this->Inner->Jobs[Job];
+  if (Kept)
+    return;
+  Kept = std::make_unique<JobRecord>();
+  Kept->Spec.Id = Job;
+  Kept->State = State;
+  Kept->EndedAt = Now;
+}
+
 void Scheduler::cancelJob(const JobId &Id, Instant Now) {
   if (JobRecord *Job = this->Inner->job(Id))
     this->Inner->endJob(*Job, JobState::Cancelled, "cancelled by its caller",
--- a/packages/site/src/desk.cpp
+++ b/packages/site/src/desk.cpp
@@ -96,10 +96,15 @@
   Spec->Queue = Of.Queue;
   Spec->Organisation = Of.Organisation;
   Spec->AcceptedAtMs = unixMillis();
-  const Result<void> Stored =
-      co_await this->Parts.Jobs.accept(std::move(*Spec), Of.Until);
+  const Result<std::int64_t> Stored =
+      co_await this->Parts.Jobs.accept(*Spec, Of.Until);
   if (!Stored)
     co_return tl::unexpected(Stored.error());
+  if (*Stored != 0) {
+    JobChange Change{.Job = Of.Job, .Version = *Stored};
+    Change.Spec = std::move(*Spec);
+    this->tellHolder(std::move(Change));
+  }
   const Duration Took = this->Parts.Clock.now() - Began;
   this->Parts.Figures.observe("acceptance", Of.Queue.Id.str(), Took);
   logEvent(LogLevel::Info, "job.accepted",
@@ -114,10 +119,19 @@
   if (!Where.valid())
     return nullptr;
   if (!this->Holder || this->Holder->where() != Where)
-    this->Holder = std::make_unique<HolderClient>(this->Parts.Executor, Where);
+    this->Holder = std::make_shared<HolderClient>(this->Parts.Executor, Where);
   return this->Holder.get();
 }
 
+void Desk::tellHolder(JobChange Change) {
+  if (this->Parts.TellOwn(Change) || !this->holder())
+    return;
+  spawn(this->Parts.Executor, "holder-notice",
+        [Asked = this->Holder, Text = encodeChange(Change)] {
+          return Asked->tell(Text, HolderLimit);
+        });
+}
+
 Async<Result<CallerReply>> Desk::stateOf(Admitted Of) {
   if (const auto Own = this->Parts.OwnState(Of.Job))
     co_return CallerReply(*Own);
@@ -145,6 +159,7 @@
       co_await this->Parts.Jobs.cancel(std::move(*Stored), Of.Until);
   if (!Done)
     co_return tl::unexpected(Done.error());
+  this->tellHolder({.Job = Of.Job, .Cancelled = true});
   logEvent(LogLevel::Info, "job.cancel_stored", {{"job", Of.Job.str()}});
   co_return CallerReply();
 }
--- a/packages/site/src/desk.h
+++ b/packages/site/src/desk.h
@@ -23,6 +23,8 @@
   /// \returns the state if this daemon gives the orders and knows the job.
   std::function<std::optional<JobState>(const JobId &)> OwnState;
   std::function<std::optional<int>(const QueueId &)> OwnPending;
+  /// Tells this daemon's own holder of a change; \returns whether it has one.
+  std::function<bool(const JobChange &)> TellOwn;
   /// \returns where the daemon is reached that gives the orders.
   std::function<Endpoint()> HolderDoor;
 };
@@ -46,9 +48,11 @@
   Async<Result<CallerReply>> cancel(Admitted Of);
   Async<Result<CallerReply>> pending(Admitted Of);
   HolderClient *holder();
+  /// Tells the holder of \p Change, ahead of the table's list of changes.
+  void tellHolder(JobChange Change);
 
   DeskParts Parts;
-  std::unique_ptr<HolderClient> Holder;
+  std::shared_ptr<HolderClient> Holder;
 };
 
 } // namespace sardinerill::site
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -114,7 +114,13 @@
     this->Plan.cancelJob(Change.Job, Now);
     return;
   }
-  if (!Change.Spec || this->Plan.knows(Change.Job))
+  if (this->Plan.knows(Change.Job))
+    return;
+  if (Change.Ended) {
+    this->Plan.addEndedJob(Change.Job, *Change.Ended, Now);
+    return;
+  }
+  if (!Change.Spec)
     return;
   const std::int64_t AgeMs =
       std::max<std::int64_t>(0, unixMillis() - Change.Spec->AcceptedAtMs);
@@ -183,6 +189,16 @@
   this->Decide.notify();
 }
 
+void Holder::hear(const JobChange &Change) {
+  if (!this->Loaded || this->Context->Stopped)
+    return; // Read from the table later.
+  const bool TooLate = !this->Ownership.mayTakeOn(this->Parts.Clock.now());
+  if (TooLate && !Change.Cancelled)
+    return;
+  this->take(Change, nullptr);
+  this->Decide.notify();
+}
+
 Async<void> Holder::followJobs() {
   while (!this->Context->Stopped) {
     auto Changes =
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -49,6 +49,10 @@
   /// Waits until progress is stored, at most for \p Limit.
   Async<void> flush(Duration Limit);
 
+  /// Takes in a change that another daemon has stored, ahead of the table's
+  /// list of changes.
+  void hear(const JobChange &Change);
+
   HeldOwnership &ownership() { return this->Ownership; }
   void configure(const SiteConfiguration &Configuration);
   void addWaves(const std::vector<MaintenanceWave> &Waves);
--- a/packages/site/src/jobtable.cpp
+++ b/packages/site/src/jobtable.cpp
@@ -3,6 +3,7 @@
 #include "sardinerill/base/logging.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace sardinerill::site {
 
@@ -62,8 +63,40 @@
       .Job = Spec->Id, .Spec = std::move(*Spec), .Version = Read.Version};
 }
 
+bool isEnded(JobState State) {
+  return State == JobState::Completed || State == JobState::Failed ||
+         State == JobState::Cancelled;
+}
+
 } // namespace
 
+std::string encodeChange(const JobChange &Change) {
+  return nlohmann::json{
+      {"job", Change.Job.str()},
+      {"cancelled", Change.Cancelled},
+      {"version", Change.Version},
+      {"spec", Change.Spec ? encodeJob(*Change.Spec) : std::string()}}
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+Result<JobChange> decodeChange(const std::string &Text) {
+  try {
+    const auto Read = nlohmann::json::parse(Text);
+    JobChange Change{.Job = JobId(Read.at("job").get<std::string>()),
+                     .Cancelled = Read.at("cancelled"),
+                     .Version = Read.at("version")};
+    if (const std::string Spec = Read.at("spec"); !Spec.empty()) {
+      auto Decoded = decodeJob(Spec);
+      if (!Decoded)
+        return tl::unexpected(Decoded.error());
+      Change.Spec = std::move(*Decoded);
+    }
+    return Change;
+  } catch (const nlohmann::json::exception &Fault) {
+    return makeError(ErrorKind::BadRequest, Fault.what());
+  }
+}
+
 struct JobTable::Submission {
   Submission(boost::asio::any_io_executor Executor, JobSpec Spec, Instant Until)
       : Spec(std::move(Spec)), Until(Until), Settled(Executor) {}
@@ -71,9 +104,9 @@
   Instant Until;
   Signal Settled;
   bool MayBeStored = false; ///< A call that carried it brought no answer.
-  std::optional<Result<void>> Outcome;
+  std::optional<Result<std::int64_t>> Outcome;
 
-  void settle(Result<void> With) {
+  void settle(Result<std::int64_t> With) {
     this->Outcome = std::move(With);
     this->Settled.notify();
   }
@@ -103,7 +136,7 @@
   return *this->Lanes[Index];
 }
 
-Async<Result<void>> JobTable::accept(JobSpec Spec, Instant Until) {
+Async<Result<std::int64_t>> JobTable::accept(JobSpec Spec, Instant Until) {
   Lane &Mine = this->laneOf(Spec.Id);
   auto Entry =
       std::make_shared<Submission>(this->Executor, std::move(Spec), Until);
@@ -176,7 +209,7 @@
         });
     // A row that is there already is this job: the id is the caller's.
     if (Outcome->Applied || Exists)
-      Entry->settle({});
+      Entry->settle(Outcome->Applied ? Outcome->Version : 0);
   }
 }
 
@@ -240,34 +273,65 @@
   }
 }
 
+Async<Result<StoredJobs>> JobTable::loadPartition(std::size_t Index,
+                                                  const StoredJobs &Known) {
+  StoredJobs Part;
+  RowRange Range{std::string(JobsTable), "j" + std::to_string(Index), "", ""};
+  auto Page = co_await readAll(this->Store, std::move(Range), CallLimit);
+  if (!Page)
+    co_return tl::unexpected(Page.error());
+  Part.Version = Page->NewestVersion;
+  for (const Row &Read : Page->Rows) {
+    const JobId Job(Read.Where.Key);
+    const auto Progress = Known.Progress.find(Job);
+    if (Progress != Known.Progress.end() && isEnded(Progress->second.State)) {
+      JobChange Ended{.Job = Job, .Version = Read.Version};
+      Ended.Ended = Progress->second.State;
+      Part.Changes.push_back(std::move(Ended));
+    } else if (auto Change = changeOf(Read)) {
+      Part.Changes.push_back(std::move(*Change));
+    }
+  }
+  co_return Part;
+}
+
 Async<Result<StoredJobs>> JobTable::loadAll() {
   StoredJobs Loaded;
-  std::vector<JobChange> Cancelled;
-  for (std::size_t Index = 0; Index < PartitionCount; ++Index) {
-    auto Page = co_await readAll(
-        this->Store,
-        {std::string(JobsTable), "j" + std::to_string(Index), "", ""},
-        CallLimit);
-    if (!Page)
-      co_return tl::unexpected(Page.error());
-    Loaded.Version = Index == 0 ? Page->NewestVersion
-                                : std::min(Loaded.Version, Page->NewestVersion);
-    for (const Row &Read : Page->Rows)
-      if (auto Change = changeOf(Read))
-        (Change->Cancelled ? Cancelled : Loaded.Changes)
-            .push_back(std::move(*Change));
-  }
-  Loaded.Changes.insert(Loaded.Changes.end(), Cancelled.begin(),
-                        Cancelled.end());
-  auto Progress = co_await readAll(
-      this->Store,
-      {std::string(ProgressTable), std::string(ProgressPartition), "", ""},
-      CallLimit);
+  RowRange Range{std::string(ProgressTable), std::string(ProgressPartition), "",
+                 ""};
+  auto Progress = co_await readAll(this->Store, std::move(Range), CallLimit);
   if (!Progress)
     co_return tl::unexpected(Progress.error());
   for (const Row &Read : Progress->Rows)
     if (auto Decoded = decodeProgress(Read.Value))
       Loaded.Progress[JobId(Read.Where.Key)] = std::move(*Decoded);
+  // The partitions are read at the same time: a slow table takes as long for
+  // one as for all.
+  std::vector<Result<StoredJobs>> Parts(PartitionCount);
+  std::size_t Left = PartitionCount;
+  auto Finished = std::make_shared<Signal>(this->Executor);
+  for (std::size_t Index = 0; Index < PartitionCount; ++Index)
+    spawn(this->Executor, "job-load",
+          [this, Index, &Loaded, &Parts, &Left, Finished]() -> Async<void> {
+            Parts[Index] = co_await this->loadPartition(Index, Loaded);
+            if (--Left == 0)
+              Finished->notify();
+          });
+  while (Left > 0)
+    co_await Finished->wait(seconds(1));
+  std::vector<JobChange> Cancelled;
+  for (std::size_t Index = 0; Index < PartitionCount; ++Index) {
+    if (!Parts[Index])
+      co_return tl::unexpected(Parts[Index].error());
+    Loaded.Version = Index == 0
+                         ? Parts[Index]->Version
+                         : std::min(Loaded.Version, Parts[Index]->Version);
+    for (JobChange &Change : Parts[Index]->Changes)
+      (Change.Cancelled ? Cancelled : Loaded.Changes)
+          .push_back(std::move(Change));
+  }
+  Loaded.Changes.insert(Loaded.Changes.end(), Cancelled.begin(),
+                        Cancelled.end());
   co_return Loaded;
 }
 
--- a/packages/site/src/jobtable.h
+++ b/packages/site/src/jobtable.h
@@ -23,9 +23,15 @@
   JobId Job;
   bool Cancelled = false;
   std::optional<JobSpec> Spec;
+  /// Of a job that has ended; its specification is not read again.
+  std::optional<JobState> Ended;
   std::int64_t Version = 0;
 };
 
+/// \returns the text in which one daemon tells another of \p Change.
+std::string encodeChange(const JobChange &Change);
+Result<JobChange> decodeChange(const std::string &Text);
+
 struct StoredJobs {
   std::vector<JobChange> Changes; ///< Jobs first, then cancellations.
   std::map<JobId, JobProgress> Progress;
@@ -47,12 +53,15 @@
   ~JobTable();
 
   /// Accepts \p Spec. An error whose kind says that nothing ran is certain.
-  Async<Result<void>> accept(JobSpec Spec, Instant Until);
+  /// \returns the version of its row; 0 if it was there already.
+  Async<Result<std::int64_t>> accept(JobSpec Spec, Instant Until);
   /// \returns the job, or JobNotFound.
   Async<Result<StoredJob>> find(JobId Job, Instant Until);
   Async<Result<void>> cancel(StoredJob Job, Instant Until);
 
   Async<Result<StoredJobs>> loadAll();
+  Async<Result<StoredJobs>> loadPartition(std::size_t Index,
+                                          const StoredJobs &Known);
   Async<Result<std::vector<JobChange>>> changes(std::int64_t &Version,
                                                 Duration Wait);
   /// Removes jobs that ended long ago.
--- a/packages/site/src/ownershipkeeper.cpp
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -34,7 +34,8 @@
   return {.Holder = this->Parts.Settings.Name,
           .Incarnation = this->Incarnation,
           .PeerAddress = this->Parts.Settings.PeerDoor.str(),
-          .Term = OfTerm};
+          .Term = OfTerm,
+          .Leaving = this->Releasing};
 }
 
 Async<void> OwnershipKeeper::run() {
@@ -57,6 +58,7 @@
 
 Async<void> OwnershipKeeper::renew() {
   const Instant SentAt = this->Parts.Clock.now();
+  const bool Leaves = this->Releasing;
   Transaction Change;
   Change.Expectations.push_back({ownershipKey(), this->RowVersion});
   Change.Writes.push_back(
@@ -68,6 +70,7 @@
   if (Outcome->Applied) {
     this->RowVersion = Outcome->Version;
     this->Held->renewed(SentAt);
+    this->LeaveStored = Leaves;
     co_return;
   }
   for (const Row &Current : Outcome->Conflicts) {
@@ -122,7 +125,8 @@
     this->Watch.observeAbsent();
   } else if (const auto Read = decodeOwnership(Site->Value)) {
     this->Watch.observe(Site->Version, *Read, AskedAt, this->Parts.Clock.now());
-    if (Read->Incarnation == this->Incarnation && !Read->Released && Epoch) {
+    if (Read->Incarnation == this->Incarnation && !Read->Released && Epoch &&
+        !this->Releasing) {
       // A claim that brought no answer was carried out.
       this->RowVersion = Site->Version;
       this->begin(Epoch->Version, *Read, Predecessor::MayOrder, AskedAt);
--- a/packages/site/src/ownershipkeeper.h
+++ b/packages/site/src/ownershipkeeper.h
@@ -26,7 +26,14 @@
   }
   /// Looks at the row at once; another daemon has news of it.
   void lookNow() { this->Look.notify(); }
-  /// Gives the right up as planned and claims it no more.
+  /// Asks for a successor; the orders go on until there is one.
+  void leave() {
+    this->Releasing = true;
+    this->Look.notify();
+  }
+  /// \returns whether the wish to leave is stored.
+  bool leaveIsStored() const { return this->LeaveStored; }
+  /// Gives the right up, as far as it is still held.
   Async<void> release();
 
   /// \returns the row as it was last seen.
@@ -53,6 +60,7 @@
   std::int64_t RowVersion = 0; ///< Of our own row while we hold.
   int Term = 0;
   bool Releasing = false;
+  bool LeaveStored = false;
   std::unique_ptr<HttpClient> HolderDoor;
   std::function<bool()> MayBeOutranked = [] { return false; };
   Instant ClaimableSince{};
--- a/packages/site/src/peerdoor.cpp
+++ b/packages/site/src/peerdoor.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::string_view AlivePath = "/alive";
 constexpr std::string_view ReleasedPath = "/released";
+constexpr std::string_view ChangePath = "/changes";
 constexpr std::string_view JobPath = "/jobs/";
 constexpr std::string_view QueuePath = "/queues/";
 constexpr std::string_view RelayPath = "/relay/";
@@ -77,6 +78,12 @@
   co_return *Count;
 }
 
+Async<void> HolderClient::tell(std::string Change, Duration Limit) {
+  HttpRequest Notice = plain("POST", std::string(ChangePath));
+  Notice.Body = std::move(Change);
+  co_await this->Http.call(std::move(Notice), Limit);
+}
+
 Async<HttpResponse> answerPeer(const PeerDoorParts &Parts,
                                HttpRequest Request) {
   const std::string_view Target = Request.Target;
@@ -86,6 +93,13 @@
     Parts.OwnershipReleased();
     co_return HttpResponse{.Status = 200};
   }
+  if (Target == ChangePath) {
+    const auto Change = decodeChange(Request.Body);
+    if (!Change)
+      co_return HttpResponse{.Status = 400};
+    Parts.Hear(*Change);
+    co_return HttpResponse{.Status = 200};
+  }
   if (Target.starts_with(RelayPath))
     co_return co_await Parts.Store.relay(std::move(Request));
   if (Target == MetricsPath)
--- a/packages/site/src/peerdoor.h
+++ b/packages/site/src/peerdoor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "async.h"
+#include "jobtable.h"
 
 #include "sardinerill/base/errors.h"
 #include "sardinerill/http/httpclient.h"
@@ -26,6 +27,8 @@
   /// PlatformUnavailable if it can't say.
   Async<Result<JobState>> stateOf(JobId Job, Duration Limit);
   Async<Result<int>> pendingJobs(QueueId Queue, Duration Limit);
+  /// Passes on a change; one that is lost is read from the table later.
+  Async<void> tell(std::string Change, Duration Limit);
   const Endpoint &where() const { return this->Http.peer(); }
 
 private:
@@ -39,6 +42,7 @@
   std::function<bool()> Holds;
   std::function<std::optional<JobState>(const JobId &)> StateOf;
   std::function<int(const QueueId &)> PendingJobs;
+  std::function<void(const JobChange &)> Hear;
   std::function<void()> OwnershipReleased;
   std::function<std::string()> Figures;
 };
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -26,6 +26,9 @@
 constexpr milliseconds ArrivalTime{3500};
 /// Kept of the grace time for the end of the process.
 constexpr milliseconds StopReserve{700};
+/// How long a leaving holder waits for its successor.
+constexpr milliseconds HandOverTime{2500};
+constexpr milliseconds HandOverPoll{10};
 constexpr milliseconds FlushLimit{300};
 constexpr milliseconds PeerNoticeLimit{200};
 constexpr milliseconds StopPoll{50};
@@ -48,7 +51,8 @@
   Async<HttpResponse> answerCaller(HttpRequest Request);
   Async<HttpResponse> answerReadiness();
   Async<void> stopAsPlanned();
-  Async<void> tellPeersOfRelease();
+  Async<void> handOver(Instant Began);
+  void tellPeersOfRelease();
   void waitForSignal();
   void reload();
   PeerDoorParts peerDoorParts();
@@ -128,6 +132,13 @@
               return std::nullopt;
             return this->Holding->pendingJobs(Queue);
           },
+          .TellOwn =
+              [this](const JobChange &Change) {
+                if (!this->Holding)
+                  return false;
+                this->Holding->hear(Change);
+                return true;
+              },
           .HolderDoor =
               [this] {
                 const OwnershipRow &Row = this->Keeper.row();
@@ -146,6 +157,11 @@
               [this](const QueueId &Queue) {
                 return this->Holding->pendingJobs(Queue);
               },
+          .Hear =
+              [this](const JobChange &Change) {
+                if (this->Holding)
+                  this->Holding->hear(Change);
+              },
           .OwnershipReleased = [this] { this->Keeper.lookNow(); },
           .Figures = [this] { return this->Figures->renderPrometheus(); }};
 }
@@ -262,7 +278,7 @@
       });
 }
 
-Async<void> SiteDaemon::State::tellPeersOfRelease() {
+void SiteDaemon::State::tellPeersOfRelease() {
   for (const Endpoint &Peer : this->Directory.peers())
     spawn(this->Context.get_executor(), "release-notice",
           [this, Peer]() -> Async<void> {
@@ -270,7 +286,26 @@
             // A peer that misses the notice looks by itself soon.
             co_await Client.call(releasedRequest(), PeerNoticeLimit);
           });
-  co_return;
+}
+
+Async<void> SiteDaemon::State::handOver(Instant Began) {
+  this->Keeper.leave();
+  bool Told = false;
+  // Orders go on until another daemon has claimed them.
+  while (this->Holding && this->Clock.now() < Began + HandOverTime) {
+    if (this->Keeper.leaveIsStored() && !std::exchange(Told, true))
+      this->tellPeersOfRelease();
+    co_await pauseFor(HandOverPoll);
+  }
+  if (!this->Holding)
+    co_return;
+  const auto Leaving = this->Holding;
+  Leaving->stop();
+  co_await Leaving->flush(FlushLimit);
+  co_await this->Keeper.release();
+  this->Keeper.attach(nullptr);
+  this->Holding = nullptr;
+  this->tellPeersOfRelease();
 }
 
 Async<void> SiteDaemon::State::stopAsPlanned() {
@@ -279,17 +314,7 @@
            {{"daemon", this->Settings.Name},
             {"holds", this->Holding ? "yes" : "no"}});
   this->CallerDoor->startDrain();
-  if (this->Holding) {
-    const auto Leaving = this->Holding;
-    Leaving->stop();
-    co_await Leaving->flush(FlushLimit);
-    co_await this->Keeper.release();
-    this->Keeper.attach(nullptr);
-    this->Holding = nullptr;
-    co_await this->tellPeersOfRelease();
-  } else {
-    co_await this->Keeper.release();
-  }
+  co_await this->handOver(Began);
   const Instant Last = Began + this->Settings.StopGrace - StopReserve;
   while (this->Clock.now() < std::min(Began + ArrivalTime, Last))
     co_await pauseFor(StopPoll);
