--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -14,6 +14,8 @@
 /// Longest wait for changes of jobs; short enough to notice a silent
 /// connection within the contact bound.
 constexpr milliseconds JobsWait{1000};
+/// Changes within this time are read together.
+constexpr milliseconds JobsPause{100};
 /// Time between two looks at the registry.
 constexpr milliseconds RegistryInterval{500};
 constexpr milliseconds RegistryLimit{900};
@@ -206,8 +208,10 @@
     if (this->Context->Stopped)
       co_return;
     if (Changes) {
-      if (!Changes->empty())
-        co_await this->takeOn(std::move(*Changes));
+      if (Changes->empty())
+        continue;
+      co_await this->takeOn(std::move(*Changes));
+      co_await pauseFor(JobsPause); // The daemons tell of jobs ahead of it.
       continue;
     }
     if (Changes.error().Kind == ErrorKind::PlatformHistoryGone) {
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -33,6 +33,7 @@
 constexpr milliseconds PeerNoticeLimit{200};
 constexpr milliseconds StopPoll{50};
 constexpr std::size_t IncarnationBytes = 8;
+constexpr seconds SettingsInterval{5};
 /// All daemons start within 0.3 s: a second look at their list shows them all.
 constexpr int LooksOfFirstStart = 2;
 
@@ -55,6 +56,7 @@
   void tellPeersOfRelease();
   void waitForSignal();
   void reload();
+  Async<void> watchSettings();
   PeerDoorParts peerDoorParts();
   DeskParts deskParts();
   HolderParts holderParts();
@@ -255,6 +257,8 @@
              {{"reason", Read.error().Detail}});
     return;
   }
+  if (*Read == this->Settings)
+    return;
   // Addresses stay for the life of a process; bounds may change.
   this->Settings.Bounds = Read->Bounds;
   this->Settings.StopGrace = Read->StopGrace;
@@ -264,6 +268,14 @@
            {{"daemon", this->Settings.Name}});
 }
 
+Async<void> SiteDaemon::State::watchSettings() {
+  // The file may change without a signal.
+  while (true) {
+    co_await pauseFor(SettingsInterval);
+    this->reload();
+  }
+}
+
 void SiteDaemon::State::waitForSignal() {
   this->Signals.async_wait(
       [this](const boost::system::error_code &Fault, int Which) {
@@ -346,6 +358,7 @@
       });
   this->waitForSignal();
   spawn(Executor, "operator", [this] { return this->followOperator(); });
+  spawn(Executor, "settings", [this] { return this->watchSettings(); });
   spawn(Executor, "peers", [this] { return this->Directory.run(); });
   spawn(Executor, "ownership", [this] { return this->Keeper.run(); });
 }
