A leaving holder takes on nothing new; budgets count what may be at work

Cause (AVAIL): a task that was starting when it was last listed, up to a second ago, was stopped as not at work; it was by then, and others of its step were away.

Change: who leaves takes on no new jobs; the task to be ended always counts. Tests for both, failing before.

--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -101,6 +101,8 @@
 
   /// \param SentAt when the renewal that is now confirmed was sent.
   void renewed(Instant SentAt);
+  /// A successor may claim at any moment from now on.
+  void leave() { this->Leaving = true; }
   /// Another daemon has claimed the row.
   void superseded() { this->Lost = true; }
 
@@ -115,6 +117,7 @@
   std::int64_t Token;
   Instant RenewedAt;
   bool Lost = false;
+  bool Leaving = false;
 };
 
 } // namespace sardinerill::site
--- a/packages/ownership/src/ownership.cpp
+++ b/packages/ownership/src/ownership.cpp
@@ -79,7 +79,8 @@
 }
 
 bool HeldOwnership::mayTakeOn(Instant Now) const {
-  return !this->Lost && Now < this->RenewedAt + this->Times.TakeOn;
+  return !this->Lost && !this->Leaving &&
+         Now < this->RenewedAt + this->Times.TakeOn;
 }
 
 bool HeldOwnership::mayOrder(Instant Now) const {
--- a/packages/ownership/tests/ownership_test.cpp
+++ b/packages/ownership/tests/ownership_test.cpp
@@ -78,6 +78,16 @@
   CHECK(Watch.predecessor() == Predecessor::MayOrder);
 }
 
+TEST_CASE("a holder that leaves takes on no new jobs but goes on") {
+  // trouble-2 at Ingoma, seed 1074566911399: its successor claimed at once and
+  // did not expect runs of jobs accepted after that.
+  HeldOwnership Held(OwnershipTimes{}, 1, at(0));
+  CHECK(Held.mayTakeOn(at(100)));
+  Held.leave();
+  CHECK_FALSE(Held.mayTakeOn(at(100)));
+  CHECK(Held.mayOrder(at(100)));
+}
+
 TEST_CASE("an older answer that was overtaken is ignored") {
   OwnershipWatch Watch{OwnershipTimes{}};
   Watch.observe(9, Row, at(0), at(5));
--- a/packages/scheduling/src/schedulercare.cpp
+++ b/packages/scheduling/src/schedulercare.cpp
@@ -38,17 +38,21 @@
          Where != this->Upstreams.end() && this->isHeard(*Where->second, Now);
 }
 
-int Scheduler::State::unavailable(const JobRecord &Job, int Occurrence,
-                                  int Step, Instant Now) const {
-  const auto Found = Job.Occurrences.find(Occurrence);
+int Scheduler::State::othersAway(const JobRecord &Job, const TaskId &Task,
+                                 Instant Now) const {
+  const auto Found = Job.Occurrences.find(Task.Occurrence);
   if (Found == Job.Occurrences.end())
     return 0;
-  const StepRecord &Record = Found->second.Steps[std::size_t(Step)];
-  return int(std::ranges::count_if(Record.Tasks, [&](const TaskRecord &Task) {
-    return std::ranges::none_of(Task.Runs, [&](const RunPtr &Each) {
-      return this->isAtWork(Each, Now);
-    });
-  }));
+  const StepRecord &Record = Found->second.Steps[std::size_t(Task.Step)];
+  int Away = 0;
+  for (std::size_t Index = 0; Index < Record.Tasks.size(); ++Index) {
+    const bool AtWork =
+        std::ranges::any_of(Record.Tasks[Index].Runs, [&](const RunPtr &Each) {
+          return this->isAtWork(Each, Now);
+        });
+    Away += int(Index) != Task.Index && !AtWork;
+  }
+  return Away;
 }
 
 bool Scheduler::State::mayInterrupt(const RunPtr &Candidate, Instant Now,
@@ -60,14 +64,10 @@
   const StepSpec &Step = Job.Spec.Steps[std::size_t(Candidate->Id.Task.Step)];
   if (!Step.LongRunning || Step.MaxUnavailable < 0)
     return true;
-  const auto Where = this->Upstreams.find(Candidate->Where);
-  const bool Known =
-      Where != this->Upstreams.end() && this->isHeard(*Where->second, Now);
-  if (Known && !Candidate->AtWorkSince)
-    return true; // Not at work: ending it makes nothing worse.
-  const int Away = this->unavailable(Job, Candidate->Id.Task.Occurrence,
-                                     Candidate->Id.Task.Step, Now);
-  return Away + AlsoEnding < Step.MaxUnavailable;
+  // What was listed a second ago may be at work by now: the candidate always
+  // counts.
+  return this->othersAway(Job, Candidate->Id.Task, Now) + AlsoEnding <
+         Step.MaxUnavailable;
 }
 
 void Scheduler::State::replaceStuckRuns(Instant Now) {
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -93,8 +93,7 @@
   void paceFillers(UpstreamRecord &On, Instant Now);
   bool isHeard(const UpstreamRecord &Upstream, Instant Now) const;
   bool isAtWork(const RunPtr &Candidate, Instant Now) const;
-  int unavailable(const JobRecord &Job, int Occurrence, int Step,
-                  Instant Now) const;
+  int othersAway(const JobRecord &Job, const TaskId &Task, Instant Now) const;
   bool mayInterrupt(const RunPtr &Candidate, Instant Now, int AlsoEnding) const;
 
   SchedulerOptions Options;
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -229,6 +229,26 @@
   CHECK(Site.Upstreams.at("u2").Running.size() == 1);
 }
 
+TEST_CASE("a task that was starting a second ago counts as at work") {
+  // trouble-2 at Ingoma, seed 127628805617: it had reached its work since the
+  // last listing, and another of its step was away.
+  TestSite Site;
+  Site.DurationMs = 1000000;
+  StepSpec Lasting = stepOf(2, 1000, 500);
+  Lasting.LongRunning = true;
+  Lasting.MaxPerUpstream = 1;
+  Lasting.MaxUnavailable = 1;
+  Site.add("u1", 8000);
+  Site.add("u2", 8000);
+  Site.submit(jobOf(Job.str(), {Lasting}));
+  REQUIRE(Site.decide().size() == 2);
+  Site.advance(100); // Both are starting.
+  CHECK_FALSE(Site.Plan.mayInterrupt(UpstreamId("u1"), at(Site.NowMs)));
+  Site.Plan.evacuate(UpstreamId("u1"), at(Site.NowMs));
+  Site.decide();
+  CHECK(Site.Upstreams.at("u1").Running.size() == 1);
+}
+
 TEST_CASE("a task that is silent on its upstream is not counted as at work") {
   // trouble-1 at Fleece: the others of a step were on a rack that had gone
   // dark.
