--- a/packages/scheduling/src/schedulercare.cpp
+++ b/packages/scheduling/src/schedulercare.cpp
@@ -24,6 +24,10 @@
 /// percentage is rounded, and reaches 100 a little early.
 constexpr milliseconds Settling{700};
 
+/// \returns how many tasks of a budget may be away by our orders: half of it.
+/// The rest is for what can't be seen in time, such as tasks that stand still.
+int ownPartOf(int MaxUnavailable) { return (MaxUnavailable + 1) / 2; }
+
 } // namespace
 
 bool Scheduler::State::isHeard(const UpstreamRecord &Upstream,
@@ -67,7 +71,7 @@
   // What was listed a second ago may be at work by now: the candidate always
   // counts.
   return this->othersAway(Job, Candidate->Id.Task, Now) + AlsoEnding <
-         Step.MaxUnavailable;
+         ownPartOf(Step.MaxUnavailable);
 }
 
 void Scheduler::State::replaceStuckRuns(Instant Now) {
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -229,6 +229,33 @@
   CHECK(Site.Upstreams.at("u2").Running.size() == 1);
 }
 
+TEST_CASE("half of a budget is left for what can't be seen") {
+  // scale-2 at Fleece grown: tasks of the step stood still on other upstreams.
+  TestSite Site;
+  Site.DurationMs = 1000000;
+  StepSpec Lasting = stepOf(4, 1000, 500);
+  Lasting.LongRunning = true;
+  Lasting.MaxPerUpstream = 1;
+  Lasting.MaxUnavailable = 3;
+  for (const char *Id : {"u1", "u2", "u3", "u4"})
+    Site.add(Id, 8000);
+  Site.submit(jobOf(Job.str(), {Lasting}));
+  REQUIRE(Site.decide().size() == 4);
+  for (auto &[Id, Each] : Site.Upstreams)
+    for (auto &[Run, State] : Each.Running)
+      State.second = 100;
+  Site.advance(10);
+  Site.advance(800);
+  for (const char *Id : {"u1", "u2", "u3"})
+    Site.Plan.evacuate(UpstreamId(Id), at(Site.NowMs));
+  Site.Plan.cordon(UpstreamId("u1"), true);
+  Site.Plan.cordon(UpstreamId("u2"), true);
+  Site.decide();
+  CHECK(Site.Upstreams.at("u1").Running.empty());
+  CHECK(Site.Upstreams.at("u2").Running.empty());
+  CHECK(Site.Upstreams.at("u3").Running.size() == 1);
+}
+
 TEST_CASE("a task that was starting a second ago counts as at work") {
   // trouble-2 at Ingoma, seed 127628805617: it had reached its work since the
   // last listing, and another of its step was away.
