Renewals do not wait behind progress while the table is slow

Change: ownership has a partition of its own; a new holder takes the head row of progress before it loads.

--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds RegistryLimit{900};
 constexpr milliseconds RetryPause{100};
 constexpr milliseconds TakeOnPoll{20};
+constexpr milliseconds HeadRetryPause{10};
 /// Decisions are made at least this often, for what time alone brings.
 constexpr milliseconds DecisionInterval{100};
 /// News that come within this time are decided together.
@@ -136,10 +137,44 @@
   this->Plan.addJob(*Change.Spec, Known, Inherited, AcceptedAt, Now);
 }
 
+Async<bool> Holder::takeHead() {
+  const RowKey Key = progressHeadKey();
+  RowRange Range{Key.Table, Key.Partition, Key.Key, Key.Key + "!"};
+  const auto Page =
+      co_await this->Parts.Store.read(std::move(Range), StoreLimit);
+  if (!Page)
+    co_return false;
+  const std::string Mark = std::to_string(this->From.Token) + ":0";
+  std::int64_t Version = 0;
+  for (const Row &Read : Page->Rows) {
+    Version = Read.Version;
+    if (Read.Value == Mark) { // An earlier try was carried out.
+      this->HeadVersion = Version;
+      co_return true;
+    }
+  }
+  Transaction Change;
+  Change.Expectations.push_back({Key, Version});
+  Change.Writes.push_back({Key, Mark});
+  const auto Outcome =
+      co_await this->Parts.Store.transact(std::move(Change), StoreLimit);
+  if (!Outcome || !Outcome->Applied)
+    co_return false; // The last holder was faster once more.
+  this->HeadVersion = Outcome->Version;
+  co_return true;
+}
+
 Async<void> Holder::loadLoop() {
   const auto Self = this->shared_from_this();
   const Instant Began = this->Parts.Clock.now();
+  // From then on no earlier holder stores progress.
+  bool HasHead = false;
   while (!this->Context->Stopped && !this->Loaded) {
+    HasHead = HasHead || co_await this->takeHead();
+    if (!HasHead) {
+      co_await pauseFor(HeadRetryPause);
+      continue;
+    }
     const auto Stored = co_await this->Parts.Jobs.loadAll();
     if (this->Context->Stopped)
       co_return;
@@ -154,7 +189,6 @@
                              : &Progress->second);
     }
     this->JobsVersion = Stored->Version;
-    this->HeadVersion = this->From.Token;
     this->Loaded = true;
   }
   const Duration Took = this->Parts.Clock.now() - Began;
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -64,6 +64,7 @@
 
 private:
   Async<void> loadLoop();
+  Async<bool> takeHead();
   Async<void> followJobs();
   Async<void> followRegistry();
   Async<void> decideLoop();
--- a/packages/site/src/ownershipkeeper.cpp
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr milliseconds CallLimit{800};
+constexpr milliseconds CallLimit{1000};
 /// Shorter, so that a silent way to the table is left in time.
 constexpr milliseconds RenewalLimit{650};
 constexpr milliseconds ProbeLimit{300};
@@ -159,7 +159,6 @@
   Change.Expectations.push_back({ownershipKey(), this->Watch.version()});
   Change.Writes.push_back({ownershipKey(), encodeOwnership(Mine)});
   Change.Writes.push_back({epochKey(), this->Incarnation});
-  Change.Writes.push_back({progressHeadKey(), this->Incarnation});
   const Instant SentAt = this->Parts.Clock.now();
   const auto Outcome =
       co_await this->Parts.Store.transact(std::move(Change), CallLimit);
--- a/packages/site/src/unixtime.cpp
+++ b/packages/site/src/unixtime.cpp
@@ -17,10 +17,10 @@
              .count();
 }
 
-RowKey epochKey() { return {"ownership", "p", "epoch"}; }
+RowKey epochKey() { return {"ownership", "o", "epoch"}; }
 
 RowKey progressHeadKey() { return {"ownership", "p", "progress-head"}; }
 
-RowKey ownershipKey() { return {"ownership", "p", "site"}; }
+RowKey ownershipKey() { return {"ownership", "o", "site"}; }
 
 } // namespace sardinerill::site
--- a/packages/site/src/unixtime.h
+++ b/packages/site/src/unixtime.h
@@ -12,7 +12,9 @@
 /// from the process's start, so that jumps of the time of day don't show.
 std::int64_t unixMillis();
 
-/// Row that only a claim writes: its version is the fencing token.
+/// Row that only a claim writes: its version is the fencing token. Ownership
+/// has a partition of its own: transactions of one are carried out one by one,
+/// and a renewal must not wait behind progress while the table is slow.
 RowKey epochKey();
 /// Row that every transaction on progress rewrites: one that is carried out
 /// late can't undo a newer one.
