--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -13,6 +13,26 @@
 
 TaskId task(int Step, int Index) { return {Job, 0, Step, Index}; }
 
+/// Starts a job whose tasks last, one on each of as many upstreams u1, u2...
+void startLasting(TestSite &Site, int Tasks, int MaxUnavailable) {
+  Site.DurationMs = 1000000;
+  StepSpec Lasting = stepOf(Tasks, 1000, 500);
+  Lasting.LongRunning = true;
+  Lasting.MaxPerUpstream = 1;
+  Lasting.MaxUnavailable = MaxUnavailable;
+  for (int Index = 1; Index <= Tasks; ++Index)
+    Site.add("u" + std::to_string(Index), 8000);
+  Site.submit(jobOf(Job.str(), {Lasting}));
+  REQUIRE(int(Site.decide().size()) == Tasks);
+}
+
+/// Lets all running tasks be at work at the next listing.
+void reachWork(TestSite &Site) {
+  for (auto &[Id, Each] : Site.Upstreams)
+    for (auto &[Run, State] : Each.Running)
+      State.second = 100;
+}
+
 } // namespace
 
 TEST_CASE("a job runs its steps in order and is shown once it is stored") {
@@ -207,18 +227,8 @@
 
 TEST_CASE("budgets: one task that lasts is moved at a time") {
   TestSite Site;
-  Site.DurationMs = 1000000;
-  StepSpec Lasting = stepOf(2, 1000, 500);
-  Lasting.LongRunning = true;
-  Lasting.MaxPerUpstream = 1;
-  Lasting.MaxUnavailable = 1;
-  Site.add("u1", 8000);
-  Site.add("u2", 8000);
-  Site.submit(jobOf(Job.str(), {Lasting}));
-  REQUIRE(Site.decide().size() == 2);
-  for (auto &[Id, Each] : Site.Upstreams)
-    for (auto &[Run, State] : Each.Running)
-      State.second = 100;
+  startLasting(Site, 2, 1);
+  reachWork(Site);
   Site.advance(10);
   Site.advance(800); // Both have settled.
   CHECK(Site.Plan.mayInterrupt(UpstreamId("u1"), at(Site.NowMs)));
@@ -232,18 +242,8 @@
 TEST_CASE("half of a budget is left for what can't be seen") {
   // scale-2 at Fleece grown: tasks of the step stood still on other upstreams.
   TestSite Site;
-  Site.DurationMs = 1000000;
-  StepSpec Lasting = stepOf(4, 1000, 500);
-  Lasting.LongRunning = true;
-  Lasting.MaxPerUpstream = 1;
-  Lasting.MaxUnavailable = 3;
-  for (const char *Id : {"u1", "u2", "u3", "u4"})
-    Site.add(Id, 8000);
-  Site.submit(jobOf(Job.str(), {Lasting}));
-  REQUIRE(Site.decide().size() == 4);
-  for (auto &[Id, Each] : Site.Upstreams)
-    for (auto &[Run, State] : Each.Running)
-      State.second = 100;
+  startLasting(Site, 4, 3);
+  reachWork(Site);
   Site.advance(10);
   Site.advance(800);
   for (const char *Id : {"u1", "u2", "u3"})
@@ -260,15 +260,7 @@
   // trouble-2 at Ingoma, seed 127628805617: it had reached its work since the
   // last listing, and another of its step was away.
   TestSite Site;
-  Site.DurationMs = 1000000;
-  StepSpec Lasting = stepOf(2, 1000, 500);
-  Lasting.LongRunning = true;
-  Lasting.MaxPerUpstream = 1;
-  Lasting.MaxUnavailable = 1;
-  Site.add("u1", 8000);
-  Site.add("u2", 8000);
-  Site.submit(jobOf(Job.str(), {Lasting}));
-  REQUIRE(Site.decide().size() == 2);
+  startLasting(Site, 2, 1);
   Site.advance(100); // Both are starting.
   CHECK_FALSE(Site.Plan.mayInterrupt(UpstreamId("u1"), at(Site.NowMs)));
   Site.Plan.evacuate(UpstreamId("u1"), at(Site.NowMs));
@@ -280,18 +272,8 @@
   // trouble-1 at Fleece: the others of a step were on a rack that had gone
   // dark.
   TestSite Site;
-  Site.DurationMs = 1000000;
-  StepSpec Lasting = stepOf(2, 1000, 500);
-  Lasting.LongRunning = true;
-  Lasting.MaxPerUpstream = 1;
-  Lasting.MaxUnavailable = 1;
-  Site.add("u1", 8000);
-  Site.add("u2", 8000);
-  Site.submit(jobOf(Job.str(), {Lasting}));
-  REQUIRE(Site.decide().size() == 2);
-  for (auto &[Id, Each] : Site.Upstreams)
-    for (auto &[Run, State] : Each.Running)
-      State.second = 100;
+  startLasting(Site, 2, 1);
+  reachWork(Site);
   Site.advance(10);
   Site.Upstreams.at("u2").Silent = true;
   Site.advance(1000);
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -29,13 +29,9 @@
 /// Rest after a decision, as a multiple of its cost, and its upper bound.
 constexpr int RestPerDecision = 2;
 constexpr milliseconds LongestRest{150};
-constexpr milliseconds StoreLimit{900};
-/// Rows in one transaction, which takes 100 entries.
-constexpr std::size_t MostRowsTogether = 90;
 constexpr milliseconds AdviceLimit{2500};
 /// An entry that is missing for this long, through answered looks, is gone.
 constexpr milliseconds MissingLimit{2500};
-constexpr seconds RemovalInterval{20};
 /// Reads around a loss of the table's history can be this old.
 constexpr seconds UnknownJobsTime{12};
 
@@ -137,33 +133,6 @@
   this->Plan.addJob(*Change.Spec, Known, Inherited, AcceptedAt, Now);
 }
 
-Async<bool> Holder::takeHead() {
-  const RowKey Key = progressHeadKey();
-  RowRange Range{Key.Table, Key.Partition, Key.Key, Key.Key + "!"};
-  const auto Page =
-      co_await this->Parts.Store.read(std::move(Range), StoreLimit);
-  if (!Page)
-    co_return false;
-  const std::string Mark = std::to_string(this->From.Token) + ":0";
-  std::int64_t Version = 0;
-  for (const Row &Read : Page->Rows) {
-    Version = Read.Version;
-    if (Read.Value == Mark) { // An earlier try was carried out.
-      this->HeadVersion = Version;
-      co_return true;
-    }
-  }
-  Transaction Change;
-  Change.Expectations.push_back({Key, Version});
-  Change.Writes.push_back({Key, Mark});
-  const auto Outcome =
-      co_await this->Parts.Store.transact(std::move(Change), StoreLimit);
-  if (!Outcome || !Outcome->Applied)
-    co_return false; // The last holder was faster once more.
-  this->HeadVersion = Outcome->Version;
-  co_return true;
-}
-
 Async<void> Holder::loadLoop() {
   const auto Self = this->shared_from_this();
   const Instant Began = this->Parts.Clock.now();
@@ -380,78 +349,6 @@
   }
 }
 
-Async<bool> Holder::storeBatch(std::span<const ProgressChange> Changes) {
-  const std::string Mark = std::to_string(this->From.Token) + ":" +
-                           std::to_string(++this->BatchNumber);
-  while (true) {
-    Transaction Batch;
-    Batch.Expectations.push_back({progressHeadKey(), this->HeadVersion});
-    Batch.Writes.push_back({progressHeadKey(), Mark});
-    for (const ProgressChange &Change : Changes)
-      Batch.Writes.push_back({JobTable::progressKey(Change.Job), Change.Text});
-    const auto Outcome =
-        co_await this->Parts.Store.transact(std::move(Batch), StoreLimit);
-    if (Outcome && Outcome->Applied) {
-      this->HeadVersion = Outcome->Version;
-      co_return true;
-    }
-    if (Outcome) {
-      // The same transaction may have been carried out before.
-      for (const Row &Current : Outcome->Conflicts)
-        if (Current.Where == progressHeadKey() && Current.Value == Mark) {
-          this->HeadVersion = Current.Version;
-          co_return true;
-        }
-      this->Ownership.superseded();
-      co_return false;
-    }
-    if (this->Context->Stopped)
-      co_return false;
-    this->Parts.Figures.countRetry(RetryReason::PlatformTimeout);
-    co_await pauseFor(RetryPause);
-  }
-}
-
-Async<void> Holder::storeOnce() {
-  const std::vector<ProgressChange> Changes = this->Plan.takeProgress();
-  for (std::size_t Done = 0; Done < Changes.size();) {
-    const std::size_t Count = std::min(MostRowsTogether, Changes.size() - Done);
-    const std::span Batch(Changes.data() + Done, Count);
-    if (!co_await this->storeBatch(Batch))
-      co_return;
-    for (const ProgressChange &Stored : Batch)
-      this->Plan.progressStored(Stored.Job, Stored.Revision);
-    Done += Count;
-  }
-}
-
-Async<void> Holder::storeLoop() {
-  Instant NextRemoval = this->Parts.Clock.now() + RemovalInterval;
-  while (!this->Context->Stopped) {
-    co_await this->Store.wait(seconds(1));
-    this->Storing = true;
-    co_await this->storeOnce();
-    this->Storing = false;
-    if (this->Context->Stopped || this->Ownership.lost())
-      co_return;
-    this->publishFigures();
-    const Instant Now = this->Parts.Clock.now();
-    if (Now < NextRemoval)
-      continue;
-    NextRemoval = Now + RemovalInterval;
-    co_await this->Parts.Jobs.remove(this->Plan.takeExpired(Now));
-  }
-}
-
-Async<void> Holder::flush(Duration Limit) {
-  const Instant Until = this->Parts.Clock.now() + Limit;
-  constexpr milliseconds LookAgain{20};
-  while (this->Storing && this->Parts.Clock.now() < Until)
-    co_await pauseFor(LookAgain);
-  if (!this->Ownership.lost())
-    co_await this->storeOnce();
-}
-
 void Holder::publishFigures() {
   this->Parts.Figures.setGauge("holder_jobs", double(this->Plan.jobs().size()));
   this->Parts.Figures.setGauge("holder_token", double(this->From.Token));
