--- a/packages/http/src/httpclient.cpp
+++ b/packages/http/src/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "sardinerill/http/httpclient.h"
 
+#include "sardinerill/base/clock.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -121,12 +123,18 @@
   auto Held = this->Shared; // Outlives the client while a call runs.
   Request.Headers.push_back({"Host", Held->Options.Peer.str()});
   http::request<http::string_body> Message = toBeast(Request);
+  const BootClock Clock;
+  const Instant Until = Clock.now() + Limit;
   Connection Stream = Held->takeIdle();
   if (!Stream) {
     auto Opened = co_await Held->open(Limit);
     if (!Opened)
       co_return tl::unexpected(Opened.error());
     Stream = std::move(*Opened);
+    // A VM that was suspended meanwhile must not send what its caller decided
+    // before; timers don't count that time.
+    if (Clock.now() >= Until)
+      co_return tl::unexpected(HttpFault::NotSent);
   }
   Stream->expires_after(Limit);
   error_code Fault;
--- a/packages/site/src/ownershipkeeper.cpp
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -59,6 +59,8 @@
 Async<void> OwnershipKeeper::renew() {
   const Instant SentAt = this->Parts.Clock.now();
   const bool Leaves = this->Releasing;
+  if (Leaves) // From its sending on, a successor may claim.
+    this->Held->leave();
   Transaction Change;
   Change.Expectations.push_back({ownershipKey(), this->RowVersion});
   Change.Writes.push_back(
--- a/packages/site/src/ownershipkeeper.h
+++ b/packages/site/src/ownershipkeeper.h
@@ -29,8 +29,6 @@
   /// Asks for a successor; the orders go on until there is one.
   void leave() {
     this->Releasing = true;
-    if (this->Held)
-      this->Held->leave();
     this->Look.notify();
   }
   /// \returns whether the wish to leave is stored.
