--- a/packages/ctl/src/fleetfile.cpp
+++ b/packages/ctl/src/fleetfile.cpp
@@ -77,7 +77,7 @@
 void turnIntoMove(const json &Old, json &New) {
   if (Old.contains("moveTo"))
     New["moveTo"] = Old["moveTo"];
-  if (!Old.contains("pool") || New.value("pool", "") == Old["pool"])
+  if (!Old.contains("pool") || New.value("pool", json("")) == Old["pool"])
     return;
   New["moveTo"] = New["pool"];
   New["pool"] = Old["pool"];
