Inherited tasks wait for the upstreams that VMs run, listed or not

A zone was cut off at 33.5 s; the second holder since (37.4 s) saw only the registry, which had dropped the entries of the cut upstreams by then, took every upstream of the pool for heard, and started again what ran on in the cut zone: run 2 on i-116acd2051 until 40.7 s beside run 193 from 37.9 s. Ruled out: the lease time (InheritedUntil was 42.0 s and right); early claims (the change of holders was a planned stop); links that gave an upstream up for dead (no upstream.lost line names one of these). Change: a pool counts as heard only once the VMs were listed after the claim and each upstream that a VM runs has answered. Holders list the VMs while they load. Failed renewals of ownership are logged.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -93,6 +93,10 @@
   /// The same, and later reports of this life are ignored: it was ended.
   void retireUpstream(const UpstreamId &Id, std::string_view Reason,
                       Instant Now);
+  /// Takes in which upstreams the VMs run, reached or not. The registry alone
+  /// does not show them all: it drops the entry of an upstream that is cut off
+  /// while its tasks run on.
+  void listHosted(const std::vector<VmRecord> &Vms);
   /// \returns upstreams reported before \p Before that have never answered.
   std::vector<UpstreamId> silentSince(Instant Before) const;
   UpstreamLoad loadOf(const UpstreamId &Id, Instant Now) const;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -193,6 +193,13 @@
   return Silent;
 }
 
+void Scheduler::listHosted(const std::vector<VmRecord> &Vms) {
+  auto &Hosted = this->Inner->Hosted.emplace();
+  for (const VmRecord &Vm : Vms)
+    if (Vm.State == VmState::Up && !Vm.Upstream.empty())
+      Hosted[Vm.Pool].push_back(Vm.Upstream);
+}
+
 UpstreamLoad Scheduler::loadOf(const UpstreamId &Id, Instant Now) const {
   const auto Found = this->Inner->Upstreams.find(Id);
   if (Found == this->Inner->Upstreams.end())
@@ -333,6 +340,7 @@
   for (const JobId &Id : Inner.LiveJobs)
     Inner.layOutDue(*Inner.Jobs.at(Id), UnixMs);
   Inner.replaceStuckRuns(Now);
+  Inner.findHeardPools(Now);
   Inner.countUnseenUse(Now);
   Inner.MostFree.clear();
   std::vector<WaitingStep> Waiting = Inner.waitingSteps(Now);
--- a/packages/scheduling/src/schedulerplacing.cpp
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -22,17 +22,38 @@
 
 } // namespace
 
-bool Scheduler::State::isBlocked(const JobRecord &Job, const PoolId &Pool,
-                                 Instant Now) const {
-  if (!Job.Inherited || Now >= this->Options.InheritedUntil)
-    return false;
-  const auto Found = this->ByPool.find(Pool);
-  return Found == this->ByPool.end() ||
-         std::ranges::any_of(Found->second, [](const UpstreamRecord *Each) {
-           return !Each->Answered;
+bool Scheduler::State::hasSilentUpstream(const PoolId &Pool) const {
+  const auto Reported = this->ByPool.find(Pool);
+  if (!this->Hosted || Reported == this->ByPool.end())
+    return true; // Nothing is known yet.
+  if (std::ranges::any_of(Reported->second, [](const UpstreamRecord *Each) {
+        return !Each->Answered;
+      }))
+    return true;
+  const auto Hosts = this->Hosted->find(Pool);
+  return Hosts != this->Hosted->end() &&
+         std::ranges::any_of(Hosts->second, [this](const UpstreamId &Id) {
+           const auto Found = this->Upstreams.find(Id);
+           return Found == this->Upstreams.end() || !Found->second->Answered;
          });
 }
 
+void Scheduler::State::findHeardPools(Instant Now) {
+  this->HeardPools.clear();
+  this->InheritedOver = Now >= this->Options.InheritedUntil;
+  if (this->InheritedOver)
+    return;
+  for (const auto &[Id, Members] : this->ByPool)
+    if (!this->hasSilentUpstream(Id))
+      this->HeardPools.insert(Id);
+}
+
+bool Scheduler::State::isBlocked(const JobRecord &Job,
+                                 const PoolId &Pool) const {
+  return Job.Inherited && !this->InheritedOver &&
+         !this->HeardPools.contains(Pool);
+}
+
 bool Scheduler::State::hasWaitingTask(const StepRecord &Step, const StepSpec &,
                                       Instant Now) const {
   return std::ranges::any_of(Step.Tasks, [&](const TaskRecord &Task) {
@@ -81,7 +102,7 @@
   for (const JobId &Id : this->LiveJobs) {
     JobRecord &Job = *this->Jobs.at(Id);
     const QueueSettings &Queue = this->settingsOf(Job);
-    if (this->isBlocked(Job, Queue.Pool, Now))
+    if (this->isBlocked(Job, Queue.Pool))
       continue;
     for (auto &[Number, Occurrence] : Job.Occurrences) {
       if (Occurrence.OpenTasks == 0)
@@ -105,7 +126,7 @@
     return;
   for (const JobId &Id : this->LiveJobs) {
     const JobRecord &Job = *this->Jobs.at(Id);
-    if (!this->isBlocked(Job, this->settingsOf(Job).Pool, Now))
+    if (!this->isBlocked(Job, this->settingsOf(Job).Pool))
       continue;
     for (const auto &[Number, Occurrence] : Job.Occurrences)
       for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -70,7 +70,9 @@
   std::vector<WaitingStep> waitingSteps(Instant Now);
   bool hasWaitingTask(const StepRecord &Step, const StepSpec &Spec,
                       Instant Now) const;
-  bool isBlocked(const JobRecord &Job, const PoolId &Pool, Instant Now) const;
+  void findHeardPools(Instant Now);
+  bool hasSilentUpstream(const PoolId &Pool) const;
+  bool isBlocked(const JobRecord &Job, const PoolId &Pool) const;
   WaitingWork weigh(const JobRecord &Job, const QueueSettings &Queue,
                     const OccurrenceRecord &Occurrence, Instant Now) const;
   bool placeTasks(const WaitingStep &Waiting, Instant Now);
@@ -102,6 +104,12 @@
   std::set<JobId> LiveJobs;
   std::map<UpstreamId, std::unique_ptr<UpstreamRecord>> Upstreams;
   std::map<PoolId, std::vector<UpstreamRecord *>> ByPool;
+  /// The upstreams that VMs of each pool run; none before the first list.
+  std::optional<std::map<PoolId, std::vector<UpstreamId>>> Hosted;
+  /// Whether the last run of an earlier holder has ended by now.
+  bool InheritedOver = false;
+  /// Pools whose upstreams have all answered; found anew for each decision.
+  std::set<PoolId> HeardPools;
   std::map<OrganisationId, Resources> InUse;
   /// What inherited tasks may use on upstreams that have not answered.
   std::map<OrganisationId, Resources> Unseen;
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -157,6 +157,36 @@
   CHECK(Starts[0].Run.Number > 64); // No number of the last holder.
 }
 
+TEST_CASE("tasks may run on an upstream that the registry lists no more") {
+  // trouble-3 at Ingoma grown: a zone was cut off, the entries of its upstreams
+  // were dropped, and the second holder since started all that ran there again.
+  TestSite Site({.Term = 2, .InheritedUntil = at(5000)});
+  Site.add("u1", 8000);
+  Site.host("u2");
+  Site.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}), true);
+  CHECK(Site.decide().empty());
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(1, 1000, 500)}), false);
+  CHECK(Site.decide().size() == 1); // Accepted after the claim.
+  Site.NowMs = 5001;
+  CHECK(Site.decide().size() == 1);
+}
+
+TEST_CASE(
+    "inherited tasks wait until the VMs are listed and all have answered") {
+  TestSite Site({.Term = 1, .InheritedUntil = at(5000)});
+  FakeUpstream &Only = Site.Upstreams["u1"];
+  Only.Report = {.Id = UpstreamId("u1"),
+                 .Pool = PoolId("pool"),
+                 .BornMs = 1,
+                 .Capacity = {8000, 100000, 0}};
+  Site.Plan.reportUpstream(Only.Report, at(Site.NowMs));
+  Site.list(Only);
+  Site.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}), true);
+  CHECK(Site.decide().empty());
+  Site.host("u1");
+  CHECK(Site.decide().size() == 1);
+}
+
 TEST_CASE("ends of jobs that are not known yet stay with the upstream") {
   TestSite Site({.UnknownJobsUntil = at(20000)});
   FakeUpstream &Upstream = Site.add("u1", 8000);
--- a/packages/scheduling/tests/testsite.h
+++ b/packages/scheduling/tests/testsite.h
@@ -92,10 +92,20 @@
                     .Capacity = {Cpu, 100000, 0},
                     .Labels = {"a", "rack-" + Id}};
     this->Plan.reportUpstream(Added.Report, at(this->NowMs));
+    this->host(Id, Pool);
     this->list(Added);
     return Added;
   }
 
+  /// Adds a VM that runs the upstream \p Id, whether it is reached or not.
+  void host(const std::string &Id, const std::string &Pool = "pool") {
+    this->Vms.push_back({.Id = VmId("vm-" + Id),
+                         .Pool = PoolId(Pool),
+                         .State = VmState::Up,
+                         .Upstream = UpstreamId(Id)});
+    this->Plan.listHosted(this->Vms);
+  }
+
   void submit(JobSpec Spec, bool Inherited = false) {
     this->Plan.addJob(std::move(Spec), std::nullopt, Inherited, at(this->NowMs),
                       at(this->NowMs));
@@ -160,6 +170,7 @@
   Scheduler Plan;
   SiteConfiguration Configuration;
   std::map<std::string, FakeUpstream> Upstreams;
+  std::vector<VmRecord> Vms;
   std::int64_t NowMs = 1000;
   int StartCount = 0;
   int DurationMs = 500; ///< Run time of each task.
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -78,6 +78,8 @@
   const auto Self = this->shared_from_this();
   spawn(this->Parts.Executor, "holder-load",
         [Self] { return Self->loadLoop(); });
+  spawn(this->Parts.Executor, "holder-vm-list",
+        [Kept = this->Keeper] { return Kept->listFirst(); });
 }
 
 void Holder::stop() {
--- a/packages/site/src/ownershipkeeper.cpp
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -67,8 +67,14 @@
       {ownershipKey(), encodeOwnership(this->ownRow(this->Term))});
   const auto Outcome =
       co_await this->Parts.Store.transact(std::move(Change), RenewalLimit);
-  if (!this->Held || !Outcome)
-    co_return; // The lease runs on; the next look tries again.
+  if (!this->Held)
+    co_return;
+  if (!Outcome) { // The lease runs on; the next look tries again.
+    logEvent(LogLevel::Warning, "ownership.renewal_failed",
+             {{"token", std::to_string(this->Held->token())},
+              {"reason", Outcome.error().Detail}});
+    co_return;
+  }
   if (Outcome->Applied) {
     this->RowVersion = Outcome->Version;
     this->Held->renewed(SentAt);
--- a/packages/site/src/vmkeeper.cpp
+++ b/packages/site/src/vmkeeper.cpp
@@ -72,16 +72,28 @@
   }
 }
 
-Async<void> VmKeeper::look() {
-  const Instant AskedAt = this->Parts.Clock.now();
+Async<bool> VmKeeper::listVms() {
   auto Listed = co_await this->Parts.Vms.list(ListLimit);
   if (this->Stopped)
-    co_return;
+    co_return false;
   if (!Listed) {
     this->Parts.Figures.count("vm_lists_failed_total");
-    co_return;
+    co_return false;
   }
   this->Vms = std::move(*Listed);
+  this->Parts.Plan.listHosted(this->Vms);
+  co_return true;
+}
+
+Async<void> VmKeeper::listFirst() {
+  while (!this->Stopped && !co_await this->listVms())
+    co_await pauseFor(LookInterval);
+}
+
+Async<void> VmKeeper::look() {
+  const Instant AskedAt = this->Parts.Clock.now();
+  if (!co_await this->listVms())
+    co_return;
   this->retireReplaced(AskedAt);
   this->refreshMoves();
   if (this->Parts.Clock.now() < this->QuietUntil)
--- a/packages/site/src/vmkeeper.h
+++ b/packages/site/src/vmkeeper.h
@@ -39,6 +39,8 @@
       : Parts(Parts), QuietUntil(QuietUntil) {}
 
   Async<void> run();
+  /// Lists the VMs once, before anything that waits is started.
+  Async<void> listFirst();
   void stop() { this->Stopped = true; }
   void configure(const SiteConfiguration &Next) { this->Configuration = Next; }
   void addWaves(const std::vector<MaintenanceWave> &Waves);
@@ -71,6 +73,8 @@
     bool SeenAway = false;
   };
 
+  /// \returns whether the list was read.
+  Async<bool> listVms();
   Async<void> look();
   std::vector<PoolView> poolViews() const;
   Async<void> movePools();
