Pools keep room for tasks that last; what an order ends counts as away

Cause: lasting steps of some 24 tasks have one task a VM (or 7 packed on one), and pools in their trough held 17 VMs while another peaked: a task that had to leave found no place, was away until a VM came free, and used up its budget. Ruled out: the limit of VMs at once. Change: a pool has a floor: the spread of its lasting steps, one more, and up to 6 while a wave empties VMs; floors are filled before peaks. A task is not stopped while no other upstream could take it. `wave.waits` lines say which task holds a VM and why. Tests: two new (no other place; what an order ends); two older ones are given upstreams with room, since without them nothing moves any more; their checks are unchanged.

--- a/packages/scheduling/include/sardinerill/scheduling/poolplan.h
+++ b/packages/scheduling/include/sardinerill/scheduling/poolplan.h
@@ -9,7 +9,9 @@
 /// what their pool holds, and fall to a twentieth in between. A pool in its
 /// peak is given VMs of the standby pool and of pools in their trough; a pool
 /// in its trough gives empty VMs to the standby pool, where they cost nothing.
-/// Growing is fast and shrinking slow, so that noise moves nothing.
+/// Growing is fast and shrinking slow, so that noise moves nothing. Before any
+/// peak, each pool has as many VMs as its tasks that last are spread over, and
+/// some more while a wave empties VMs: they have nowhere else to go.
 
 namespace sardinerill::site {
 
@@ -30,6 +32,10 @@
   std::vector<PoolVm> Vms;
   int Arriving = 0; ///< VMs on their way to it.
   std::int64_t DemandCpuMilli = 0;
+  /// VMs that the widest step of tasks that last is spread over.
+  int SpreadVms = 0;
+  /// VMs that a wave has still to take down.
+  int MaintenanceDue = 0;
 };
 
 /// What the plan remembers of a pool between two looks.
--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -43,6 +43,14 @@
   Resources Used;
 };
 
+/// Why a task that lasts does not leave its upstream.
+struct StayingTask {
+  TaskId Task;
+  int OthersAway = 0; ///< Tasks of its step that are not at work.
+  int Allowed = 0;    ///< How many may be away by our orders.
+  bool HasOtherPlace = false;
+};
+
 /// One pool as the planner of VMs sees it.
 struct PoolDemand {
   /// Processors that running and startable tasks ask for.
@@ -53,6 +61,8 @@
   std::int64_t LastingCpuMilli = 0;
   /// What work that arrives at the present rate keeps busy.
   std::int64_t ArrivingCpuMilli = 0;
+  /// VMs that the widest step of tasks that last is spread over.
+  int SpreadVms = 0;
 
   /// \returns what the pool needs now or soon.
   std::int64_t expected() const {
@@ -61,6 +71,9 @@
   }
 };
 
+/// \returns the name of a task for logs.
+std::string describe(const TaskId &Id);
+
 /// The scheduler of all pools that one holder orders. Has no clock and does no
 /// I/O: every event carries its time, and orders are taken with takeOrders().
 class Scheduler {
@@ -145,6 +158,11 @@
   int evacuate(const UpstreamId &Id, Instant Now);
   /// \returns whether ending all that runs on \p Id breaks no budget.
   bool mayInterrupt(const UpstreamId &Id, Instant Now) const;
+  /// An order that ends all that runs on \p Id was given, or, if not \p Ends,
+  /// was certainly not carried out.
+  void expectEnd(const UpstreamId &Id, bool Ends);
+  /// \returns the first task on \p Id that has to stay there for now.
+  std::optional<StayingTask> stayingTask(const UpstreamId &Id, Instant Now);
 
 private:
   struct State;
--- a/packages/scheduling/include/sardinerill/scheduling/waveplan.h
+++ b/packages/scheduling/include/sardinerill/scheduling/waveplan.h
@@ -35,6 +35,8 @@
   std::int64_t DemandCpuMilli = 0; ///< Running and waiting.
   int VmsInService = 0;
   int VmsOutOfService = 0; ///< Preparing or down.
+  /// VMs that the widest step of tasks that last is spread over.
+  int SpreadVms = 0;
 };
 
 struct WaveView {
--- a/packages/scheduling/src/poolplan.cpp
+++ b/packages/scheduling/src/poolplan.cpp
@@ -14,6 +14,10 @@
 /// VMs that a pool has beyond what its demand needs: the first second of a
 /// peak is served by them.
 constexpr int SpareVms = 2;
+/// VMs beyond the spread of tasks that last, for one that fails.
+constexpr int SpareForSpread = 1;
+/// VMs beyond that while a wave empties others: as many are emptied together.
+constexpr int MostSpareForWave = 6;
 /// Least VMs of a pool, as a share of the mean over all pools.
 constexpr double LeastShare = 0.4;
 /// Time constant with which a fallen demand is forgotten.
@@ -23,6 +27,7 @@
 
 struct Need {
   const PoolView *Pool = nullptr;
+  int Floor = 0; ///< Has to have, whatever others need.
   int Wanted = 0;
   int Have = 0;
   int missing() const { return this->Wanted - this->Have; }
@@ -75,6 +80,33 @@
   return Given;
 }
 
+int floorOf(const PoolView &Pool, int Least) {
+  if (Pool.SpreadVms == 0)
+    return Least;
+  return std::max(Least, Pool.SpreadVms + SpareForSpread +
+                             std::min(Pool.MaintenanceDue, MostSpareForWave));
+}
+
+/// Brings pools that are below their floor up to it with idle VMs.
+void fillFloors(std::vector<Need> &Needs, const PoolView *Standby,
+                std::set<VmId> &Taken, PoolSteps &Steps) {
+  for (Need &Wants : Needs) {
+    const auto Missing = [&] { return Wants.Floor - Wants.Have; };
+    if (Standby && Missing() > 0)
+      Wants.Have +=
+          give(*Standby, Wants.Pool->Id, Missing(), true, Taken, Steps);
+    for (Need &Gives : Needs) {
+      const int Most = std::min(Missing(), Gives.Have - Gives.Floor);
+      if (Most <= 0)
+        continue;
+      const int Given =
+          give(*Gives.Pool, Wants.Pool->Id, Most, true, Taken, Steps);
+      Gives.Have -= Given;
+      Wants.Have += Given;
+    }
+  }
+}
+
 } // namespace
 
 PoolSteps planPools(const std::vector<PoolView> &Pools,
@@ -100,13 +132,15 @@
         rememberDemand(Memory[Pool.Id], double(Pool.DemandCpuMilli), Now);
     const int ForDemand =
         int(std::ceil(Demand * Headroom / double(CpuMilliOfVm)));
-    Needs.push_back({&Pool, std::max(Least, ForDemand + SpareVms),
+    const int Floor = floorOf(Pool, Least);
+    Needs.push_back({&Pool, Floor, std::max(Floor, ForDemand + SpareVms),
                      inService(Pool) + Pool.Arriving});
   }
   std::ranges::stable_sort(Needs, [](const Need &A, const Need &B) {
     return A.missing() > B.missing();
   });
   std::set<VmId> Taken;
+  fillFloors(Needs, Standby, Taken, Steps);
   for (Need &Wants : Needs) {
     if (Wants.missing() <= 0)
       break;
--- a/packages/scheduling/src/schedulercare.cpp
+++ b/packages/scheduling/src/schedulercare.cpp
@@ -42,7 +42,8 @@
   const auto Where = this->Upstreams.find(Candidate->Where);
   return Candidate->Phase == RunPhase::Active && !Candidate->StopWanted &&
          Now - Candidate->AtWorkSince.value_or(Now) >= Settling &&
-         Where != this->Upstreams.end() && this->isHeard(*Where->second, Now);
+         Where != this->Upstreams.end() && !Where->second->Ending &&
+         this->isHeard(*Where->second, Now);
 }
 
 int Scheduler::State::othersAway(const JobRecord &Job, const TaskId &Task,
@@ -77,6 +78,22 @@
          ownPartOf(Step.MaxUnavailable);
 }
 
+bool Scheduler::State::hasOtherPlace(const RunPtr &Candidate, Instant Now) {
+  const TaskId &Id = Candidate->Id.Task;
+  const JobRecord *Job = this->job(Id.Job);
+  const TaskRecord *Task = this->task(Id);
+  if (!Job || !Task)
+    return true; // Nobody waits for it.
+  const QueueSettings &Queue = this->settingsOf(*Job);
+  return this->choose({.Step = this->spec(Id),
+                       .Record = &Job->Occurrences.at(Id.Occurrence)
+                                      .Steps[std::size_t(Id.Step)],
+                       .Pool = Queue.Pool,
+                       .Task = Task,
+                       .NeedsTicket = Queue.NeedsAdvice,
+                       .Now = Now}) != nullptr;
+}
+
 void Scheduler::State::replaceStuckRuns(Instant Now) {
   for (auto &[Id, Upstream] : this->Upstreams) {
     // Without a recent answer nothing is known of its progress.
@@ -136,8 +153,7 @@
 
 bool Scheduler::wantsEarlyLook(const UpstreamId &Id, Instant Now) const {
   const auto Found = this->Inner->Upstreams.find(Id);
-  if (Found == this->Inner->Upstreams.end() ||
-      !this->Inner->EvacuatedAt ||
+  if (Found == this->Inner->Upstreams.end() || !this->Inner->EvacuatedAt ||
       Now - *this->Inner->EvacuatedAt > EvacuationMemory)
     return false;
   return std::ranges::any_of(Found->second->Runs, [&](const auto &Entry) {
@@ -160,7 +176,8 @@
     ++Left;
     this->Inner->EvacuatedAt = Now;
     if (!Candidate->StopWanted && Candidate->Phase == RunPhase::Active &&
-        this->Inner->mayInterrupt(Candidate, Now, 0)) {
+        this->Inner->mayInterrupt(Candidate, Now, 0) &&
+        this->Inner->hasOtherPlace(Candidate, Now)) {
       // Stopped at once, so that the next question counts it as away.
       this->Inner->wantStop(Candidate);
     }
@@ -168,6 +185,31 @@
   return Left;
 }
 
+void Scheduler::expectEnd(const UpstreamId &Id, bool Ends) {
+  if (const auto Found = this->Inner->Upstreams.find(Id);
+      Found != this->Inner->Upstreams.end())
+    Found->second->Ending = Ends;
+}
+
+std::optional<StayingTask> Scheduler::stayingTask(const UpstreamId &Id,
+                                                  Instant Now) {
+  const auto Found = this->Inner->Upstreams.find(Id);
+  if (Found == this->Inner->Upstreams.end())
+    return std::nullopt;
+  for (const auto &[RunKey, Candidate] : Found->second->Runs) {
+    const StepSpec *Step = this->Inner->spec(RunKey.Task);
+    if (!Step || !Step->LongRunning || Candidate->StopWanted)
+      continue;
+    const JobRecord &Job = *this->Inner->job(RunKey.Task.Job);
+    return StayingTask{
+        .Task = RunKey.Task,
+        .OthersAway = this->Inner->othersAway(Job, RunKey.Task, Now),
+        .Allowed = ownPartOf(Step->MaxUnavailable),
+        .HasOtherPlace = this->Inner->hasOtherPlace(Candidate, Now)};
+  }
+  return std::nullopt;
+}
+
 bool Scheduler::mayInterrupt(const UpstreamId &Id, Instant Now) const {
   const auto Found = this->Inner->Upstreams.find(Id);
   if (Found == this->Inner->Upstreams.end())
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -101,6 +101,7 @@
   bool Answered = false; ///< Has answered this holder: its token is in force.
   bool Cordoned = false;
   bool MaintenanceDue = false; ///< Will be taken down before long.
+  bool Ending = false; ///< An order that ends all that runs here was given.
   Resources Used;
   std::map<RunId, RunPtr> Runs;
   std::map<std::int64_t, UnstoredEnd> Unstored;
--- a/packages/scheduling/src/schedulerplacing.cpp
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -372,7 +372,12 @@
       for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
         if (!isReady(Job.Spec, Occurrence, int(Step)))
           continue;
-        const std::int64_t Cpu = chargedTo(Job.Spec.Steps[Step]).CpuMilli;
+        const StepSpec &Spec = Job.Spec.Steps[Step];
+        const std::int64_t Cpu = chargedTo(Spec).CpuMilli;
+        if (Spec.LongRunning && Spec.MaxPerUpstream > 0)
+          Pool.SpreadVms =
+              std::max(Pool.SpreadVms, (Spec.Count + Spec.MaxPerUpstream - 1) /
+                                           Spec.MaxPerUpstream);
         for (const TaskRecord &Task : Occurrence.Steps[Step].Tasks) {
           if (Task.Done)
             continue;
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -95,6 +95,8 @@
   void paceFillers(UpstreamRecord &On, Instant Now);
   bool isHeard(const UpstreamRecord &Upstream, Instant Now) const;
   bool isAtWork(const RunPtr &Candidate, Instant Now) const;
+  /// \returns whether another upstream could take what \p Candidate runs.
+  bool hasOtherPlace(const RunPtr &Candidate, Instant Now);
   int othersAway(const JobRecord &Job, const TaskId &Task, Instant Now) const;
   bool mayInterrupt(const RunPtr &Candidate, Instant Now, int AlsoEnding) const;
 
@@ -129,7 +131,6 @@
   void rebuildPools();
 };
 
-std::string describe(const TaskId &Id);
 std::string describe(const RunId &Id);
 
 } // namespace sardinerill::site
--- a/packages/scheduling/src/waveplan.cpp
+++ b/packages/scheduling/src/waveplan.cpp
@@ -24,17 +24,22 @@
   return Now + Needed >= View.Deadline;
 }
 
+/// \returns whether tasks that last find a place without one more VM.
+bool holdsSpread(const WavePool &Pool) {
+  return Pool.SpreadVms == 0 || Pool.VmsInService > Pool.SpreadVms;
+}
+
 bool poolCanSpare(const WavePool &Pool, std::int64_t CpuMilliOfVm) {
   const int Whole = Pool.VmsInService + Pool.VmsOutOfService;
   const int Most = std::max(1, int(double(Whole) * MostOutOfPool));
   const double Rest = double(Pool.CpuMilli - CpuMilliOfVm);
-  return Pool.VmsOutOfService < Most &&
+  return Pool.VmsOutOfService < Most && holdsSpread(Pool) &&
          double(Pool.DemandCpuMilli) < DemandShare * Rest;
 }
 
 bool poolMustSpare(const WavePool &Pool) {
   const int Whole = Pool.VmsInService + Pool.VmsOutOfService;
-  return Pool.VmsOutOfService < std::max(1, Whole / 2);
+  return Pool.VmsOutOfService < std::max(1, Whole / 2) && holdsSpread(Pool);
 }
 
 } // namespace
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -258,6 +258,7 @@
 TEST_CASE("budgets: one task that lasts is moved at a time") {
   TestSite Site;
   startLasting(Site, 2, 1);
+  Site.add("u3", 8000); // A place to go to.
   reachWork(Site);
   Site.advance(10);
   Site.advance(800); // Both have settled.
@@ -269,6 +270,35 @@
   CHECK(Site.Upstreams.at("u2").Running.size() == 1);
 }
 
+TEST_CASE("a task that lasts stays where it is without another place") {
+  TestSite Site;
+  startLasting(Site, 2, 1);
+  reachWork(Site);
+  Site.advance(10);
+  Site.advance(800);
+  CHECK(Site.Plan.evacuate(UpstreamId("u1"), at(Site.NowMs)) == 1);
+  Site.decide();
+  CHECK(Site.Upstreams.at("u1").Running.size() == 1);
+  const auto Staying = Site.Plan.stayingTask(UpstreamId("u1"), at(Site.NowMs));
+  REQUIRE(Staying.has_value());
+  CHECK_FALSE(Staying->HasOtherPlace);
+}
+
+TEST_CASE("what an order is about to end counts as away") {
+  // quiet-1 at Ingoma grown: two VMs were taken down within 20 ms, each with a
+  // task of one step that had a budget of one.
+  TestSite Site;
+  startLasting(Site, 2, 1);
+  reachWork(Site);
+  Site.advance(10);
+  Site.advance(800);
+  CHECK(Site.Plan.mayInterrupt(UpstreamId("u2"), at(Site.NowMs)));
+  Site.Plan.expectEnd(UpstreamId("u1"), true);
+  CHECK_FALSE(Site.Plan.mayInterrupt(UpstreamId("u2"), at(Site.NowMs)));
+  Site.Plan.expectEnd(UpstreamId("u1"), false); // The order was refused.
+  CHECK(Site.Plan.mayInterrupt(UpstreamId("u2"), at(Site.NowMs)));
+}
+
 TEST_CASE("a task that lasts keeps away from VMs whose maintenance is due") {
   // quiet-1 at Ingoma grown: tasks that had left one VM of a wave were placed
   // on another, and the wave was late by as many turns.
@@ -308,6 +338,8 @@
   // scale-2 at Fleece grown: tasks of the step stood still on other upstreams.
   TestSite Site;
   startLasting(Site, 4, 3);
+  for (const char *Id : {"u5", "u6", "u7"})
+    Site.add(Id, 8000); // Places to go to.
   reachWork(Site);
   Site.advance(10);
   Site.advance(800);
--- a/packages/site/src/vmkeeper.cpp
+++ b/packages/site/src/vmkeeper.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds AnnounceLimit{900};
 /// A VM that was told to go down is seen away within this time.
 constexpr milliseconds SeenAwayLimit{1200};
+/// A VM that is prepared for longer is named in the log, with what holds it.
+constexpr seconds LongPreparation{4};
+constexpr seconds StayingLogInterval{2};
+constexpr int MostStayingLogged = 4;
 
 } // namespace
 
@@ -125,14 +129,20 @@
   }
 }
 
+bool VmKeeper::isDue(const VmId &Vm) const {
+  return std::ranges::any_of(this->Waves, [&](const auto &Entry) {
+    const auto Found = Entry.second.Vms.find(Vm);
+    return Found != Entry.second.Vms.end() &&
+           (Found->second.Stage == WaveStage::Waiting ||
+            Found->second.Stage == WaveStage::Preparing);
+  });
+}
+
 void VmKeeper::expectMaintenance() {
   std::set<UpstreamId> Due;
-  for (const auto &[Number, Wave] : this->Waves)
-    for (const auto &[Id, Progress] : Wave.Vms)
-      if (const VmRecord *Vm = this->record(Id);
-          Vm && (Progress.Stage == WaveStage::Waiting ||
-                 Progress.Stage == WaveStage::Preparing))
-        Due.insert(Vm->Upstream);
+  for (const VmRecord &Vm : this->Vms)
+    if (this->isDue(Vm.Id))
+      Due.insert(Vm.Upstream);
   this->Parts.Plan.expectMaintenance(Due);
 }
 
@@ -166,7 +176,9 @@
         (!Progress.SeenAway && !Overdue))
       continue;
     Progress.Stage = WaveStage::Done;
-    this->Parts.Plan.cordon(Vm->Upstream, false); // Done before, not ended now.
+    // Done before, not ended now.
+    this->Parts.Plan.cordon(Vm->Upstream, false);
+    this->Parts.Plan.expectEnd(Vm->Upstream, false);
   }
 }
 
@@ -188,8 +200,10 @@
       ++Pool.VmsOutOfService;
     }
   }
-  for (const auto &[Id, Demand] : this->Parts.Plan.demand(Now))
+  for (const auto &[Id, Demand] : this->Parts.Plan.demand(Now)) {
     Pools[Id].DemandCpuMilli = Demand.expected();
+    Pools[Id].SpreadVms = Demand.SpreadVms;
+  }
   return Pools;
 }
 
@@ -237,6 +251,7 @@
       if (const VmRecord *Vm = this->record(Id))
         this->Parts.Plan.evacuate(Vm->Upstream, Now);
   this->Parts.Decide.notify();
+  this->logStaying(Wave, Now);
   for (const VmId &Id : Steps.TakeDown) {
     co_await this->takeDown(Wave, Id);
     if (this->Stopped)
@@ -259,6 +274,30 @@
     co_await this->announce(Wave, true);
 }
 
+void VmKeeper::logStaying(WaveProgress &Wave, Instant Now) {
+  if (Now < Wave.NextStayingLog)
+    return;
+  Wave.NextStayingLog = Now + StayingLogInterval;
+  int Logged = 0;
+  for (const auto &[Id, Progress] : Wave.Vms) {
+    const VmRecord *Vm = this->record(Id);
+    if (!Vm || Progress.Stage != WaveStage::Preparing ||
+        Now - Progress.Since < LongPreparation || Logged >= MostStayingLogged)
+      continue;
+    const auto Staying = this->Parts.Plan.stayingTask(Vm->Upstream, Now);
+    if (!Staying)
+      continue;
+    ++Logged;
+    logEvent(LogLevel::Info, "wave.waits",
+             {{"wave", std::to_string(Wave.Wave.Number)},
+              {"vm", Id.str()},
+              {"task", describe(Staying->Task)},
+              {"others_away", std::to_string(Staying->OthersAway)},
+              {"allowed", std::to_string(Staying->Allowed)},
+              {"other_place", Staying->HasOtherPlace ? "yes" : "no"}});
+  }
+}
+
 Async<void> VmKeeper::takeDown(WaveProgress &Wave, VmId Id) {
   const VmRecord *Vm = this->record(Id);
   if (!Vm || !this->Parts.Ownership.mayOrder(this->Parts.Clock.now()))
@@ -276,6 +315,7 @@
     Progress.Since = this->Parts.Clock.now();
     Progress.SeenAway = false;
     Progress.Upstream = Upstream;
+    this->Parts.Plan.expectEnd(Upstream, true);
   }
   VmOrderSource Source{this->Parts.Settings.Name,
                        this->Parts.Ownership.token()};
@@ -295,10 +335,13 @@
     co_return;
   case VmOrderOutcome::Busy:
   case VmOrderOutcome::NotDone:
-    if (!Repeated) // Certainly not begun: it is chosen again later.
+    if (!Repeated) { // Certainly not begun: it is chosen again later.
       Progress.Stage = WaveStage::Preparing;
+      this->Parts.Plan.expectEnd(Upstream, false);
+    }
     co_return;
   case VmOrderOutcome::Rejected:
+    this->Parts.Plan.expectEnd(Upstream, false);
     Progress.Stage = WaveStage::Done; // No VM of this wave.
     this->Parts.Plan.cordon(Upstream, false);
     co_return;
--- a/packages/site/src/vmkeeper.h
+++ b/packages/site/src/vmkeeper.h
@@ -61,6 +61,7 @@
     bool Announced = false;
     bool Completed = false;
     std::size_t StoredDone = 0; ///< VMs that are stored as done.
+    Instant NextStayingLog{};
   };
 
   /// A VM that leaves its pool, or is on its way to another.
@@ -85,10 +86,13 @@
   /// \returns whether the move of \p Id is over or did not happen.
   bool hasSettled(const VmId &Id, MoveProgress &Move, Instant Now);
   bool inWave(const VmId &Vm) const;
+  /// \returns whether a wave has still to take \p Vm down.
+  bool isDue(const VmId &Vm) const;
   Async<void> advance(WaveProgress &Wave);
   void refresh(WaveProgress &Wave);
   WaveView viewOf(const WaveProgress &Wave) const;
   std::map<PoolId, WavePool> poolsNow() const;
+  void logStaying(WaveProgress &Wave, Instant Now);
   Async<void> takeDown(WaveProgress &Wave, VmId Vm);
   Async<bool> loadDone(WaveProgress &Wave);
   Async<void> storeDone(WaveProgress &Wave);
--- a/packages/site/src/vmmoves.cpp
+++ b/packages/site/src/vmmoves.cpp
@@ -48,6 +48,7 @@
     const UpstreamLoad Load = this->Parts.Plan.loadOf(Vm.Upstream, Now);
     const bool Certain = Load.Heard || this->isStandby(Vm.Pool);
     const bool Waved = this->inWave(Vm.Id);
+    Pool->second.MaintenanceDue += this->isDue(Vm.Id);
     Pool->second.Vms.push_back({.Id = Vm.Id,
                                 .Takes = Vm.State == VmState::Up && !Waved,
                                 .Free = !Waved && Certain,
@@ -57,8 +58,10 @@
                                 .UsedCpuMilli = Load.Used.CpuMilli});
   }
   for (const auto &[Id, Demand] : this->Parts.Plan.demand(Now))
-    if (const auto Pool = Views.find(Id); Pool != Views.end())
+    if (const auto Pool = Views.find(Id); Pool != Views.end()) {
       Pool->second.DemandCpuMilli = Demand.expected();
+      Pool->second.SpreadVms = Demand.SpreadVms;
+    }
   std::vector<PoolView> List;
   List.reserve(Views.size());
   for (auto &[Id, View] : Views)
