A trend counts once enough jobs make it; pools forget their peak sooner

Ruled out: maintenance (no VM was down then), the standby pool (empty because of the first). A fallen demand is forgotten with 2 s instead of 3 s.

--- a/packages/scheduling/src/poolplan.cpp
+++ b/packages/scheduling/src/poolplan.cpp
@@ -21,7 +21,7 @@
 /// Least VMs of a pool, as a share of the mean over all pools.
 constexpr double LeastShare = 0.4;
 /// Time constant with which a fallen demand is forgotten.
-constexpr double ForgetSeconds = 3.0;
+constexpr double ForgetSeconds = 2.0;
 /// A pool shrinks only if this many VMs are beyond what it wants.
 constexpr int ShrinkMargin = 1;
 
--- a/packages/scheduling/src/shares.h
+++ b/packages/scheduling/src/shares.h
@@ -47,46 +47,65 @@
 class ArrivalMeter {
 public:
   void add(double CpuSeconds, Instant Now) {
-    for (Smoothed *Each : {&this->Fast, &this->Slow}) {
-      Each->Rate = Each->at(Now) + CpuSeconds / Each->TimeConstant;
-      Each->UpdatedAt = std::max(Each->UpdatedAt, Now);
-    }
+    this->Jobs.add(1, Now);
+    this->Fast.add(CpuSeconds, Now);
+    this->Slow.add(CpuSeconds, Now);
   }
 
   /// \returns processor seconds that arrive a second: the processors that the
   /// work keeps busy in the mean.
-  double at(Instant Now) const { return this->Fast.at(Now); }
+  double at(Instant Now) const { return this->Slow.at(Now); }
 
   /// \returns the rate after \p LeadSeconds more, if it goes on changing as it
   /// does now.
   double expected(Instant Now, double LeadSeconds) const {
-    const double Rate = this->Fast.at(Now);
-    const double Growth = (Rate - this->Slow.at(Now)) /
-                          (this->Slow.TimeConstant - this->Fast.TimeConstant);
-    const double Ahead = LeadSeconds + this->Fast.TimeConstant;
-    return std::clamp(Rate + Ahead * Growth, 0.0, MostGrowth * Rate);
+    const double Rate = this->Slow.at(Now);
+    const double Growth =
+        (this->Fast.at(Now) - Rate) / (SlowSeconds - FastSeconds);
+    const double Ahead = LeadSeconds + SlowSeconds;
+    return std::clamp(Rate + this->trust(Now) * Ahead * Growth, 0.0,
+                      MostGrowth * std::max(Rate, this->Fast.at(Now)));
   }
 
 private:
-  /// A rate that is forgotten with a time constant, in seconds.
-  struct Smoothed {
-    double TimeConstant;
-    double Rate = 0;
-    Instant UpdatedAt{};
-
+  /// A rate a second that is forgotten with a time constant.
+  class Smoothed {
+  public:
+    explicit Smoothed(double Seconds) : Seconds(Seconds) {}
+    void add(double Amount, Instant Now) {
+      this->Rate = this->at(Now) + Amount / this->Seconds;
+      this->UpdatedAt = std::max(this->UpdatedAt, Now);
+    }
     double at(Instant Now) const {
       const double Passed =
           std::max(0.0, double((Now - this->UpdatedAt).count()) / 1e6);
-      return this->Rate * std::exp(-Passed / this->TimeConstant);
+      return this->Rate * std::exp(-Passed / this->Seconds);
     }
+
+  private:
+    double Seconds;
+    double Rate = 0;
+    Instant UpdatedAt{};
   };
 
+  /// \returns how far the trend counts: a few large jobs make none.
+  double trust(Instant Now) const {
+    const double Recent = this->Jobs.at(Now) * FastSeconds;
+    return std::clamp((Recent - FewJobs) / FewJobs, 0.0, 1.0);
+  }
+
+  /// Long enough for some ten jobs of a peak, short against the 2 s in which it
+  /// rises.
+  static constexpr double FastSeconds = 0.35;
+  /// Long enough to smooth single jobs, short against a peak of 4 s.
+  static constexpr double SlowSeconds = 0.8;
   /// The trend of the first jobs of a peak is steep and uncertain.
   static constexpr double MostGrowth = 2.5;
-  /// Seconds: long enough for some ten jobs of a peak, short against the 2 s in
-  /// which it rises.
-  Smoothed Fast{.TimeConstant = 0.35};
-  Smoothed Slow{.TimeConstant = 0.9};
+  /// Jobs that arrive within the short time by chance, not by a trend.
+  static constexpr double FewJobs = 6;
+  Smoothed Jobs{FastSeconds};
+  Smoothed Fast{FastSeconds};
+  Smoothed Slow{SlowSeconds};
 };
 
 } // namespace sardinerill::site
