Budgets are used whole, because tasks that stand still are seen

Cause: half of each budget was kept for tasks that stand still unseen, so steps with a budget of two moved one task at a time and waves were late. Ruled out: using the percentage, which stays at 100. Change: a task that uses no processor 0.7 s after it came to work counts as away; budgets are used whole. What an upstream listed before they can have taken effect (1 s after the last order) no longer proves that a task is at work.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -23,6 +23,9 @@
   /// Until then, runs of an earlier holder may go on unseen on upstreams that
   /// have not answered.
   Instant InheritedUntil{};
+  /// Until then, tasks that last may be ending by orders of an earlier holder,
+  /// although their upstreams list them as at work.
+  Instant StopsPendingUntil{};
   /// Until then, jobs may be missing here that upstreams have run: what was
   /// read of the table may be seconds old.
   Instant UnknownJobsUntil{};
--- a/packages/scheduling/src/schedulercare.cpp
+++ b/packages/scheduling/src/schedulercare.cpp
@@ -29,9 +29,18 @@
 /// Evacuations are asked for at each look at the VMs (about 0.2 s).
 constexpr milliseconds EvacuationMemory{1000};
 
-/// \returns how many tasks of a budget may be away by our orders: half of it.
-/// The rest is for what can't be seen in time, such as tasks that stand still.
-int ownPartOf(int MaxUnavailable) { return (MaxUnavailable + 1) / 2; }
+/// A task that uses no processor this long after it came to work stands still;
+/// the figure is for the last half second.
+constexpr milliseconds LoadDelay{700};
+
+/// \returns whether what \p Candidate's upstream lists shows that it works: a
+/// task on an upstream that hangs is listed with all its progress, and idle.
+bool isBusy(const Run &Candidate, const StepSpec &Step, Instant Now) {
+  if (Step.TailTarget.count() > 0)
+    return true; // Its figure is the tail of its response times.
+  return Candidate.Load > 0 ||
+         Now - Candidate.AtWorkSince.value_or(Now) < LoadDelay;
+}
 
 } // namespace
 
@@ -42,9 +51,16 @@
 
 bool Scheduler::State::isAtWork(const RunPtr &Candidate, Instant Now) const {
   const auto Where = this->Upstreams.find(Candidate->Where);
+  const auto Job = this->Jobs.find(Candidate->Id.Task.Job);
+  if (Job == this->Jobs.end() ||
+      !isBusy(*Candidate,
+              Job->second->Spec.Steps[std::size_t(Candidate->Id.Task.Step)],
+              Now))
+    return false;
   return Candidate->Phase == RunPhase::Active && !Candidate->StopWanted &&
          Now - Candidate->AtWorkSince.value_or(Now) >= Settling &&
          Where != this->Upstreams.end() && !Where->second->Ending &&
+         Where->second->AnsweredAt >= this->Options.StopsPendingUntil &&
          this->isHeard(*Where->second, Now);
 }
 
@@ -77,7 +93,7 @@
   // What was listed a second ago may be at work by now: the candidate always
   // counts.
   return this->othersAway(Job, Candidate->Id.Task, Now) + AlsoEnding <
-         ownPartOf(Step.MaxUnavailable);
+         Step.MaxUnavailable;
 }
 
 bool Scheduler::State::hasOtherPlace(const RunPtr &Candidate, bool InDue,
@@ -223,7 +239,7 @@
     return StayingTask{
         .Task = RunKey.Task,
         .OthersAway = this->Inner->othersAway(Job, RunKey.Task, Now),
-        .Allowed = ownPartOf(Step->MaxUnavailable),
+        .Allowed = Step->MaxUnavailable,
         .HasOtherPlace = this->Inner->hasOtherPlace(Candidate, true, Now)};
   }
   return std::nullopt;
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds AdviceLimit{2500};
 /// An entry that is missing for this long, through answered looks, is gone.
 constexpr milliseconds MissingLimit{2500};
+/// A stop is carried out within 0.9 s on every known site, and is on its way
+/// for a little.
+constexpr milliseconds LongestStop{1000};
 /// Reads around a loss of the table's history can be this old.
 constexpr seconds UnknownJobsTime{12};
 
@@ -52,6 +55,7 @@
   return {.Bounds = Parts.Settings.Bounds,
           .Term = From.Term,
           .InheritedUntil = inheritedUntil(Parts, From),
+          .StopsPendingUntil = lastOrderOf(From) + LongestStop,
           .UnknownJobsUntil = From.ClaimSentAt + UnknownJobsTime};
 }
 
