Ends of overtaken answers stand; cordons hold before an upstream is known

A VM of a wave is cordoned by its upstream's id, which the list of VMs knows before the registry does: the cordon was lost, and tasks were placed on a VM about to go down. And an answer that was overtaken by a newer one was dropped with its ends, which a VM that goes down never lists again. Ruled out: the lease (30 s old upstream, no silence before), a takeover. Found beside it: behind an end of a job not read yet, later ends were not counted as listed, and their runs could be taken for vanished. Change: cordons are kept by id; ends of overtaken answers are taken in; all listed ends count as seen. Late work and work beyond its organisation's share asks for a fifth of its VMs, so that the next pool's peak finds some. Tests: four, one for each; all fail without the change.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -121,6 +121,10 @@
   /// \param SentAt when the question was sent.
   void listRuns(const UpstreamId &Id, const RunListing &Listing, Instant SentAt,
                 Instant Now);
+  /// Takes in the ends of an answer that was overtaken by a newer one: they may
+  /// never be listed again.
+  void listEnds(const UpstreamId &Id, const std::vector<EndedRun> &Ends,
+                Instant Now);
   /// \returns the last end that may be forgotten by the upstream.
   std::int64_t acknowledged(const UpstreamId &Id) const;
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -241,6 +241,7 @@
   const bool Draining = !IsNew && Record->Report.Draining;
   Record->Report = Report;
   Record->Report.Draining |= Draining;
+  Record->Cordoned = this->Inner->Cordoned.contains(Report.Id);
   Record->MaintenanceDue = this->Inner->MaintenanceDue.contains(Report.Id);
   Record->Listed = true;
   if (Moved)
@@ -289,6 +290,11 @@
 }
 
 void Scheduler::cordon(const UpstreamId &Id, bool Cordoned) {
+  // The list of VMs knows an upstream before the registry does.
+  if (Cordoned)
+    this->Inner->Cordoned.insert(Id);
+  else
+    this->Inner->Cordoned.erase(Id);
   if (const auto Found = this->Inner->Upstreams.find(Id);
       Found != this->Inner->Upstreams.end())
     Found->second->Cordoned = Cordoned;
--- a/packages/scheduling/src/schedulerplacing.cpp
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -17,6 +17,10 @@
 /// of its objective: estimates are off by half, and what was begun is lost for
 /// others if it is not finished.
 constexpr double PatienceShare = 0.4;
+/// Part of its processors that work asks VMs for once it is late or beyond its
+/// organisation's share: a job that is late is worth a tenth, and whoever is in
+/// time in another pool goes before it.
+constexpr double LateWorkShare = 0.2;
 /// From the choice of a VM until it takes tasks in its new pool: the move
 /// (1.5 s), its entry in the registry, and the looks at both.
 constexpr double SecondsToGrow = 2.2;
@@ -362,18 +366,28 @@
     Record.Tickets[Id] = {Ticket, Now + Validity - TicketMargin};
 }
 
+double Scheduler::State::demandShare(const JobRecord &Job,
+                                     const OccurrenceRecord &Occurrence,
+                                     Instant Now) const {
+  const WaitingWork Work =
+      this->weigh(Job, this->settingsOf(Job), Occurrence, Now);
+  return Work.CanBeInTime && !Work.OverShare ? 1.0 : LateWorkShare;
+}
+
 std::map<PoolId, PoolDemand> Scheduler::demand(Instant Now) const {
   std::map<PoolId, PoolDemand> Demand;
   for (const JobId &Id : this->Inner->LiveJobs) {
     const JobRecord &Job = *this->Inner->Jobs.at(Id);
     PoolDemand &Pool = Demand[this->Inner->settingsOf(Job).Pool];
     const bool Lasts = isLasting(Job.Spec);
-    for (const auto &[Number, Occurrence] : Job.Occurrences)
+    for (const auto &[Number, Occurrence] : Job.Occurrences) {
+      const double Part =
+          Lasts ? 1.0 : this->Inner->demandShare(Job, Occurrence, Now);
       for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
         if (!isReady(Job.Spec, Occurrence, int(Step)))
           continue;
         const StepSpec &Spec = Job.Spec.Steps[Step];
-        const std::int64_t Cpu = chargedTo(Spec).CpuMilli;
+        const auto Cpu = std::int64_t(Part * double(chargedTo(Spec).CpuMilli));
         if (Spec.LongRunning && Spec.MaxPerUpstream > 0)
           Pool.SpreadVms =
               std::max(Pool.SpreadVms, (Spec.Count + Spec.MaxPerUpstream - 1) /
@@ -388,6 +402,7 @@
             Pool.WaitingCpuMilli += Cpu;
         }
       }
+    }
   }
   for (const auto &[Queue, Meter] : this->Inner->ArrivingWork)
     if (const QueueSettings *Settings =
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -229,7 +229,7 @@
 
 void Scheduler::State::dropUnlisted(UpstreamRecord &From,
                                     const std::set<RunId> &Seen, Instant SentAt,
-                                    std::int64_t, Instant Now) {
+                                    Instant Now) {
   std::vector<RunPtr> Gone;
   for (const auto &[Id, Candidate] : From.Runs) {
     const bool Settled = Candidate->Phase == RunPhase::Active ||
@@ -248,6 +248,30 @@
   }
 }
 
+void Scheduler::State::takeEnds(UpstreamRecord &From,
+                                const std::vector<EndedRun> &Ends,
+                                Instant Now) {
+  for (const EndedRun &End : Ends) {
+    if (End.Sequence <= From.EndsSeen)
+      continue;
+    // An end that can't be recorded yet stays with its upstream.
+    if (!this->job(End.Run.Task.Job) && Now < this->Options.UnknownJobsUntil)
+      break;
+    From.EndsSeen = End.Sequence;
+    this->takeEnd(From, End, Now);
+    if (const JobRecord *Job = this->job(End.Run.Task.Job))
+      if (!Job->stored())
+        From.Unstored[End.Sequence] = {End.Run.Task.Job, Job->Revision};
+  }
+}
+
+void Scheduler::listEnds(const UpstreamId &Id,
+                         const std::vector<EndedRun> &Ends, Instant Now) {
+  if (const auto Found = this->Inner->Upstreams.find(Id);
+      Found != this->Inner->Upstreams.end())
+    this->Inner->takeEnds(*Found->second, Ends, Now);
+}
+
 void Scheduler::listRuns(const UpstreamId &Id, const RunListing &Listing,
                          Instant SentAt, Instant Now) {
   const auto Found = this->Inner->Upstreams.find(Id);
@@ -260,26 +284,16 @@
     const JobRecord *Job = this->Inner->job(Entry.second.Job);
     return !Job || Job->StoredRevision >= Entry.second.Revision;
   });
+  this->Inner->takeEnds(From, Listing.Ended, Now);
+  // A run whose end can't be taken in yet has not vanished either.
   std::set<RunId> Seen;
-  for (const EndedRun &End : Listing.Ended) {
+  for (const EndedRun &End : Listing.Ended)
     Seen.insert(End.Run);
-    if (End.Sequence <= From.EndsSeen)
-      continue;
-    // An end that can't be recorded yet stays with its upstream.
-    if (!this->Inner->job(End.Run.Task.Job) &&
-        Now < this->Inner->Options.UnknownJobsUntil)
-      break;
-    From.EndsSeen = End.Sequence;
-    this->Inner->takeEnd(From, End, Now);
-    if (const JobRecord *Job = this->Inner->job(End.Run.Task.Job))
-      if (!Job->stored())
-        From.Unstored[End.Sequence] = {End.Run.Task.Job, Job->Revision};
-  }
   for (const ActiveRun &Active : Listing.Active) {
     Seen.insert(Active.Run);
     this->Inner->takeActive(From, Active, Now);
   }
-  this->Inner->dropUnlisted(From, Seen, SentAt, Listing.ClockMs, Now);
+  this->Inner->dropUnlisted(From, Seen, SentAt, Now);
   this->Inner->paceFillers(From, Now);
 }
 
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -64,7 +64,9 @@
   void failTask(JobRecord &Job, const TaskId &Id, int Number, Instant Now);
   void takeActive(UpstreamRecord &From, const ActiveRun &Seen, Instant Now);
   void dropUnlisted(UpstreamRecord &From, const std::set<RunId> &Seen,
-                    Instant SentAt, std::int64_t ClockMs, Instant Now);
+                    Instant SentAt, Instant Now);
+  void takeEnds(UpstreamRecord &From, const std::vector<EndedRun> &Ends,
+                Instant Now);
 
   // Placing (schedulerplacing.cpp)
   std::vector<WaitingStep> waitingSteps(Instant Now);
@@ -75,6 +77,9 @@
   bool isBlocked(const JobRecord &Job, const PoolId &Pool) const;
   WaitingWork weigh(const JobRecord &Job, const QueueSettings &Queue,
                     const OccurrenceRecord &Occurrence, Instant Now) const;
+  /// \returns which part of what \p Job could use its pool asks VMs for.
+  double demandShare(const JobRecord &Job, const OccurrenceRecord &Occurrence,
+                     Instant Now) const;
   bool placeTasks(const WaitingStep &Waiting, Instant Now);
   bool placeGang(const WaitingStep &Waiting, Instant Now);
   bool placeTask(const WaitingStep &Waiting, int Index, Instant Now);
@@ -128,6 +133,7 @@
   /// search for it.
   std::map<PoolId, Resources> MostFree;
   std::set<UpstreamId> MaintenanceDue;
+  std::set<UpstreamId> Cordoned; ///< Reported or not.
   /// When tasks last had to leave an upstream.
   std::optional<Instant> EvacuatedAt;
   Instant NextRelocation{};
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -200,6 +200,26 @@
   CHECK(Site.Plan.acknowledged(Upstream.Report.Id) == 1);
 }
 
+TEST_CASE("an end behind one that can't be taken in is not lost") {
+  TestSite Site({.UnknownJobsUntil = at(20000)});
+  FakeUpstream &Upstream = Site.add("u1", 8000);
+  Site.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}));
+  const auto Starts = Site.decide();
+  REQUIRE(Starts.size() == 1);
+  const RunId Unknown{{JobId("ffffffffffffffff"), 0, 0, 0}, 1};
+  Upstream.Ended.push_back(
+      {++Upstream.LastSequence, Unknown, RunEnd::Done, ""});
+  Upstream.end(Starts[0].Run, RunEnd::Done);
+  Site.NowMs += 100;
+  Site.list(Upstream);
+  CHECK(Site.decide().empty());
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(1, 1000, 500)}));
+  Site.list(Upstream);
+  CHECK(Site.decide().empty());
+  Site.storeAll();
+  CHECK((Site.Plan.stateOf(Job) == JobState::Completed));
+}
+
 TEST_CASE("a life that ended is not taken back from a late registry entry") {
   TestSite Site;
   const UpstreamReport Report = Site.add("u1", 8000).Report;
@@ -241,6 +261,46 @@
   CHECK(Site.decide().size() == 1);
 }
 
+TEST_CASE("ends of an overtaken answer stand") {
+  // trouble-3 at Fleece grown: a VM was taken down after an answer with an end
+  // had been overtaken by a newer one; the task was started again.
+  TestSite Site;
+  FakeUpstream &Upstream = Site.add("u1", 8000);
+  Site.add("u2", 8000);
+  Site.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}));
+  const auto Starts = Site.decide();
+  REQUIRE(Starts.size() == 1);
+  Site.Plan.listEnds(Starts[0].Where, {{1, Starts[0].Run, RunEnd::Done, ""}},
+                     at(Site.NowMs));
+  Site.Plan.retireUpstream(Upstream.Report.Id, "test", at(Site.NowMs));
+  CHECK(Site.decide().empty());
+  Site.storeAll();
+  CHECK((Site.Plan.stateOf(Job) == JobState::Completed));
+}
+
+TEST_CASE("a VM is cordoned before the registry knows its upstream") {
+  TestSite Site;
+  Site.Plan.cordon(UpstreamId("u1"), true);
+  Site.add("u1", 8000);
+  Site.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}));
+  CHECK(Site.decide().empty());
+  Site.Plan.cordon(UpstreamId("u1"), false);
+  CHECK(Site.decide().size() == 1);
+}
+
+TEST_CASE("work that is late asks for a part of its VMs") {
+  // trouble-3 at Fleece grown: the late work of one organisation kept 261 VMs
+  // in one pool while the next began its peak with 22.
+  TestSite Site;
+  Site.submit(jobOf(Job.str(), {stepOf(10, 1000, 500)}));
+  const auto Asked = [&] {
+    return Site.Plan.demand(at(Site.NowMs)).at(PoolId("pool")).CpuMilli;
+  };
+  CHECK(Asked() == 10000);
+  Site.NowMs += 5000;
+  CHECK(Asked() == 2000);
+}
+
 TEST_CASE("a gang starts whole or not at all, with one number") {
   TestSite Site;
   Site.add("u1", 2000);
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -68,10 +68,13 @@
     this->Report.BornMs = Born ? Born : this->Report.BornMs;
     this->Unanswered = 0;
     this->Lease.answered(Answer.Listing.ClockMs, Now);
-    // An answer to an older question may hold what is over by now; what it
-    // alone holds is listed again.
-    if (SentAt < this->NewestListing)
+    // An answer to an older question may list as active what is over by now.
+    // Its ends stand, and the upstream may be gone before it lists them again.
+    if (SentAt < this->NewestListing) {
+      this->Context->Plan.listEnds(this->Report.Id, Answer.Listing.Ended, Now);
+      this->Context->Decide.notify();
       return;
+    }
     this->NewestListing = SentAt;
     this->Context->Plan.listRuns(this->Report.Id, Answer.Listing, SentAt, Now);
     this->Context->Decide.notify();
