Silent upstreams and zones get no more tasks until they are heard

Cause: an upstream that leaves a start unanswered was only the last choice. In a peak with a zone cut off the others are full, so all that waits goes to silent VMs, and is stuck there until its lease runs out 4.6 s later. Ruled out: start limits (250 ms already), the order of work. Change: such an upstream takes none until it answers anything; a zone of eight upstreams or more that has been silent for 0.35 s beside others takes none. Compared with other zones, so that a slow daemon suspects none. Tests: two; both fail without the change.

--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -42,8 +42,7 @@
 bool mayRun(const UpstreamRecord &Candidate,
             const PlacementQuestion &Question) {
   const StepSpec &Step = *Question.Step;
-  if (Candidate.Report.Pool != Question.Pool || !Candidate.Answered ||
-      !Candidate.Listed || Candidate.Report.Draining || Candidate.Cordoned)
+  if (Candidate.Report.Pool != Question.Pool || !Candidate.takesTasks())
     return false;
   if (!chargedTo(Step).fitsIn(Candidate.free()))
     return false;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -348,6 +348,7 @@
     Inner.layOutDue(*Inner.Jobs.at(Id), UnixMs);
   Inner.replaceStuckRuns(Now);
   Inner.findHeardPools(Now);
+  Inner.findSilentZones();
   Inner.relocateLasting(Now);
   Inner.countUnseenUse(Now);
   Inner.MostFree.clear();
--- a/packages/scheduling/src/schedulercare.cpp
+++ b/packages/scheduling/src/schedulercare.cpp
@@ -26,6 +26,10 @@
 constexpr milliseconds Settling{100};
 /// Time between two looks for tasks that can leave VMs due for maintenance.
 constexpr milliseconds RelocationInterval{100};
+/// A zone that has been silent for so long beside others is taken for cut off:
+/// ten upstreams answer at least once in 0.1 s by turns.
+constexpr milliseconds ZoneSilence{350};
+constexpr int FewUpstreams = 8;
 /// Evacuations are asked for at each look at the VMs (about 0.2 s).
 constexpr milliseconds EvacuationMemory{1000};
 
@@ -115,6 +119,23 @@
   return Where && (InDue || !Where->MaintenanceDue);
 }
 
+void Scheduler::State::findSilentZones() {
+  Instant Latest{};
+  for (const auto &[Zone, HeardAt] : this->ZoneHeardAt)
+    Latest = std::max(Latest, HeardAt);
+  std::map<ZoneId, int> Members;
+  for (const auto &[Id, Upstream] : this->Upstreams)
+    Members[Upstream->Report.Zone] += Upstream->Answered;
+  for (auto &[Id, Upstream] : this->Upstreams) {
+    const ZoneId &Zone = Upstream->Report.Zone;
+    const auto HeardAt = this->ZoneHeardAt.find(Zone);
+    // Compared with the other zones, so that a slow daemon suspects none.
+    Upstream->ZoneSilent = Members[Zone] >= FewUpstreams &&
+                           HeardAt != this->ZoneHeardAt.end() &&
+                           Latest - HeardAt->second > ZoneSilence;
+  }
+}
+
 void Scheduler::State::replaceStuckRuns(Instant Now) {
   for (auto &[Id, Upstream] : this->Upstreams) {
     // Without a recent answer nothing is known of its progress.
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -109,10 +109,18 @@
   Instant ReportedAt{}; ///< First seen in the registry.
   Instant AnsweredAt{};
   Instant UnlistedAt{};
+  /// A start brought no answer, and nothing has been heard from it since.
+  bool Suspect = false;
+  bool ZoneSilent = false; ///< Its zone seems cut off from this daemon.
   int FailuresInRow = 0;
   Instant AvoidUntil{}; ///< Not chosen before, after failures or refusals.
 
   Resources free() const { return this->Report.Capacity - this->Used; }
+  /// \returns whether tasks may be placed here as far as is known.
+  bool takesTasks() const {
+    return this->Answered && this->Listed && !this->Report.Draining &&
+           !this->Cordoned && !this->Suspect && !this->ZoneSilent;
+  }
   std::string_view rack() const;
 };
 
--- a/packages/scheduling/src/schedulerplacing.cpp
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -177,8 +177,7 @@
   if (Known == this->MostFree.end()) {
     Resources Most;
     for (const UpstreamRecord *Each : this->ByPool[Pool]) {
-      if (!Each->Answered || !Each->Listed || Each->Report.Draining ||
-          Each->Cordoned)
+      if (!Each->takesTasks())
         continue;
       const Resources Free = Each->free();
       Most.CpuMilli = std::max(Most.CpuMilli, Free.CpuMilli);
@@ -247,9 +246,7 @@
     return false;
   AdviceOrder Question{Waiting.Job->Spec.Id, Waiting.Occurrence, Waiting.Step};
   for (const UpstreamRecord *Candidate : Found->second)
-    if (Candidate->Answered && Candidate->Listed &&
-        !Candidate->Report.Draining && !Candidate->Cordoned &&
-        Question.Candidates.size() < MostCandidates)
+    if (Candidate->takesTasks() && Question.Candidates.size() < MostCandidates)
       Question.Candidates.push_back(Candidate->Report.Id);
   if (Question.Candidates.empty())
     return false;
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -280,6 +280,8 @@
   UpstreamRecord &From = *Found->second;
   From.Answered = true;
   From.AnsweredAt = Now;
+  From.Suspect = false;
+  this->Inner->ZoneHeardAt[From.Report.Zone] = Now;
   std::erase_if(From.Unstored, [&](const auto &Entry) {
     const JobRecord *Job = this->Inner->job(Entry.second.Job);
     return !Job || Job->StoredRevision >= Entry.second.Revision;
@@ -308,6 +310,7 @@
     return;
   const RunPtr Started = Known->second;
   if (Outcome == StartOutcome::Accepted) {
+    this->Inner->ZoneHeardAt[Upstream.Report.Zone] = Now;
     if (Started->Phase == RunPhase::Ordered) {
       Started->Phase = RunPhase::Active;
       Started->ConfirmedAt = Started->ProgressAt = Now;
@@ -319,6 +322,7 @@
     if (Started->Phase != RunPhase::Ordered)
       return;
     Started->Phase = RunPhase::Uncertain;
+    Upstream.Suspect = true;
     this->Inner->wantStop(Started);
     return;
   }
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -96,6 +96,7 @@
   double usePerShare(const OrganisationId &Organisation) const;
 
   // Care of what runs (schedulercare.cpp)
+  void findSilentZones();
   void replaceStuckRuns(Instant Now);
   void paceFillers(UpstreamRecord &On, Instant Now);
   bool isHeard(const UpstreamRecord &Upstream, Instant Now) const;
@@ -122,6 +123,7 @@
   bool InheritedOver = false;
   /// Pools whose upstreams have all answered; found anew for each decision.
   std::set<PoolId> HeardPools;
+  std::map<ZoneId, Instant> ZoneHeardAt;
   std::map<OrganisationId, Resources> InUse;
   /// What inherited tasks may use on upstreams that have not answered.
   std::map<OrganisationId, Resources> Unseen;
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -261,6 +261,45 @@
   CHECK(Site.decide().size() == 1);
 }
 
+TEST_CASE("an upstream that left a start unanswered gets no more until heard") {
+  // A zone cut off in a peak at Ingoma grown: the other VMs were full, and all
+  // that waited went to those that were silent, to be lost with their leases.
+  TestSite Site;
+  FakeUpstream &Silent = Site.add("u1", 2000);
+  Silent.Silent = true;
+  Site.submit(jobOf(Job.str(), {stepOf(2, 1000, 500)}));
+  Site.decide();
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(1, 500, 500)}));
+  Site.NowMs += 10;
+  CHECK(Site.decide().empty());
+  Silent.Silent = false;
+  Site.list(Silent);
+  for (const int Index : {0, 1})
+    Site.Plan.stopAnswered(Silent.Report.Id, {task(0, Index), 1},
+                           StopOutcome::Taken, at(Site.NowMs));
+  Site.NowMs += 10;
+  Site.list(Silent);
+  CHECK_FALSE(Site.decide().empty());
+}
+
+TEST_CASE("a zone that falls silent beside others gets no more tasks") {
+  TestSite Site;
+  for (int Index = 0; Index < 16; ++Index) {
+    FakeUpstream &Each = Site.add("u" + std::to_string(Index), 1000);
+    Each.Report.Zone = ZoneId(Index < 8 ? "near" : "cut");
+    Site.Plan.reportUpstream(Each.Report, at(Site.NowMs));
+  }
+  Site.advance(10);
+  for (int Index = 8; Index < 16; ++Index)
+    Site.Upstreams.at("u" + std::to_string(Index)).Silent = true;
+  Site.advance(400);
+  Site.submit(jobOf(Job.str(), {stepOf(16, 1000, 500)}));
+  const auto Starts = Site.decide();
+  CHECK(Starts.size() == 8);
+  for (const StartOrder &Start : Starts)
+    CHECK(Site.Upstreams.at(Start.Where.str()).Report.Zone == ZoneId("near"));
+}
+
 TEST_CASE("ends of an overtaken answer stand") {
   // trouble-3 at Fleece grown: a VM was taken down after an answer with an end
   // had been overtaken by a newer one; the task was started again.
