Daemons that can't reach the table say so; first holders are strong ones

A holder that was cut off read the registry through one daemon at a time, each as likely cut off, 0.9 s each. The first claim of all waits 3 s for stronger daemons. Nothing is started on a view of the jobs older than 2.5 s. The registry is read through two daemons at once while the direct way is lost.

--- a/packages/site/include/sardinerill/site/istore.h
+++ b/packages/site/include/sardinerill/site/istore.h
@@ -63,8 +63,9 @@
 struct RowRange {
   std::string Table;
   std::string Partition;
-  std::string From; ///< Empty: from the first key.
-  std::string To;   ///< Excluded; empty: to the last key.
+  std::string From;    ///< Empty: from the first key.
+  std::string To;      ///< Excluded; empty: to the last key.
+  bool Urgent = false; ///< All work waits for it; see IStore::read().
 };
 
 /// Errors: PlatformUnavailable if certainly nothing was done, else
@@ -74,13 +75,16 @@
   virtual ~IStore() = default;
   virtual Async<Result<TransactionOutcome>> transact(Transaction Change,
                                                      Duration Limit) = 0;
-  /// Reads one page, in the order of keys.
+  /// Reads one page, in the order of keys. An urgent one may be asked for in
+  /// two ways at once.
   virtual Async<Result<RowPage>> read(RowRange Range, Duration Limit) = 0;
   /// Waits up to \p Wait for changes of \p Table after \p Version.
   virtual Async<Result<RowPage>>
   changes(std::string Table, std::int64_t Version, Duration Wait) = 0;
   /// Other daemons that can pass calls on while the store turns this one away.
   virtual void setRelays(std::vector<Endpoint> Relays) = 0;
+  /// \returns whether calls can be expected to succeed, one way or another.
+  virtual bool reachable() const = 0;
   /// Passes on a call of another daemon, unchanged.
   virtual Async<HttpResponse> relay(HttpRequest Request) = 0;
 };
--- /dev/null
+++ b/packages/site/include/sardinerill/site/storecontact.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "sardinerill/base/clock.h"
+
+/// \file
+/// Whether the table can be reached, directly or through other daemons.
+
+namespace sardinerill::site {
+
+/// Judges by the outcomes of calls, which every daemon makes twice a second.
+class StoreContact {
+public:
+  void answered(Instant Now) {
+    this->AnsweredAt = Now;
+    this->Failing = false;
+  }
+  void failed() { this->Failing = true; }
+
+  /// \returns whether calls have failed for so long that new ones can't be
+  /// expected to succeed.
+  bool lost(Instant Now) const {
+    return this->Failing && Now - this->AnsweredAt > LostAfter;
+  }
+
+private:
+  /// A slow table answers within 0.3 s, and the calls are 0.5 s apart.
+  static constexpr milliseconds LostAfter{1200};
+  Instant AnsweredAt{};
+  bool Failing = false;
+};
+
+} // namespace sardinerill::site
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -30,6 +30,9 @@
 constexpr int RestPerDecision = 2;
 constexpr milliseconds LongestRest{150};
 constexpr milliseconds AdviceLimit{2500};
+/// Nothing is started on an older view of the jobs: a cancellation counts 3 s
+/// after its acknowledgement on the strictest known site.
+constexpr milliseconds OldestView{2500};
 /// An entry that is missing for this long, through answered looks, is gone.
 constexpr milliseconds MissingLimit{2500};
 /// A stop is carried out within 0.9 s on every known site, and is on its way
@@ -159,6 +162,7 @@
       co_await pauseFor(HeadRetryPause);
       continue;
     }
+    const Instant AskedAt = this->Parts.Clock.now();
     const auto Stored = co_await this->Parts.Jobs.loadAll();
     if (this->Context->Stopped)
       co_return;
@@ -166,6 +170,7 @@
       co_await pauseFor(RetryPause);
       continue;
     }
+    this->JobsSeenAt = AskedAt;
     for (const JobChange &Change : Stored->Changes) {
       const auto Progress = Stored->Progress.find(Change.Job);
       this->take(Change, Progress == Stored->Progress.end()
@@ -221,14 +226,18 @@
 
 Async<void> Holder::followJobs() {
   while (!this->Context->Stopped) {
+    const Instant AskedAt = this->Parts.Clock.now();
     auto Changes =
         co_await this->Parts.Jobs.changes(this->JobsVersion, JobsWait);
     if (this->Context->Stopped)
       co_return;
     if (Changes) {
-      if (Changes->empty())
+      const bool Quiet = Changes->empty();
+      if (!Quiet)
+        co_await this->takeOn(std::move(*Changes));
+      this->JobsSeenAt = AskedAt;
+      if (Quiet)
         continue;
-      co_await this->takeOn(std::move(*Changes));
       co_await pauseFor(JobsPause); // The daemons tell of jobs ahead of it.
       continue;
     }
@@ -240,6 +249,7 @@
           co_return;
         this->JobsVersion = Stored->Version;
         co_await this->takeOn(std::move(Stored->Changes));
+        this->JobsSeenAt = AskedAt;
       }
     }
     co_await pauseFor(RetryPause);
@@ -348,7 +358,12 @@
     if (News)
       co_await pauseFor(DecisionDelay);
     const Instant Now = this->Parts.Clock.now();
-    if (!this->Ownership.mayOrder(Now)) {
+    const bool Stale = Now - this->JobsSeenAt > OldestView;
+    if (Stale != std::exchange(this->ViewIsStale, Stale))
+      logEvent(LogLevel::Warning,
+               Stale ? "holder.view_stale" : "holder.view_fresh",
+               {{"version", std::to_string(this->JobsVersion)}});
+    if (Stale || !this->Ownership.mayOrder(Now)) {
       co_await pauseFor(RetryPause);
       continue;
     }
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -92,6 +92,8 @@
   bool Loaded = false;
   bool Storing = false;
   std::int64_t JobsVersion = 0;
+  Instant JobsSeenAt{}; ///< When the newest view of the jobs was asked for.
+  bool ViewIsStale = false;
   std::int64_t HeadVersion = 0; ///< Of the row before the next transaction.
   std::int64_t BatchNumber = 0;
 };
--- a/packages/site/src/jobtable.cpp
+++ b/packages/site/src/jobtable.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds CallLimit{900};
 /// Pause after a call that failed.
 constexpr milliseconds RetryPause{60};
+/// When a caller may come back after the table could not be reached.
+constexpr milliseconds ComeBackAfter{1000};
 /// Rows in one transaction that removes.
 constexpr std::size_t MostRemovals = 45;
 
@@ -148,6 +150,9 @@
 }
 
 Async<Result<std::int64_t>> JobTable::accept(JobSpec Spec, Instant Until) {
+  if (!this->Store.reachable())
+    co_return makeError(ErrorKind::PlatformUnavailable,
+                        "the table can't be reached", ComeBackAfter);
   const std::shared_ptr<Lane> Mine = this->laneOf(Spec.Id);
   auto Entry =
       std::make_shared<Submission>(this->Executor, std::move(Spec), Until);
@@ -168,12 +173,12 @@
     std::erase_if(Which->Waiting, [&](const auto &Entry) {
       if (Entry->IsSettled)
         return true;
-      if (Now < Entry->Until)
+      if (Now < Entry->Until && this->Store.reachable())
         return false;
       Entry->settle(
           makeError(Entry->MayBeStored ? ErrorKind::PlatformOutcomeUnknown
                                        : ErrorKind::PlatformUnavailable,
-                    "the job could not be stored in time", milliseconds(1000)));
+                    "the job could not be stored in time", ComeBackAfter));
       return true;
     });
   }
--- a/packages/site/src/ownershipkeeper.cpp
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -19,6 +19,9 @@
 constexpr int ClaimSpreadMs = 120;
 /// How long a daemon lets much stronger ones claim first.
 constexpr milliseconds YieldTime{900};
+/// The same before the first holder of all, when the daemons don't know each
+/// other yet and no work waits: daemons start seconds before their callers.
+constexpr milliseconds FirstYieldTime{3000};
 
 } // namespace
 
@@ -153,7 +156,9 @@
   if (this->ClaimableSince == Instant{})
     this->ClaimableSince = Now;
   // The strong are given time to claim first; who is weak still serves.
-  if (!this->MayBeOutranked() || Now - this->ClaimableSince >= YieldTime)
+  const Duration Yield =
+      this->Watch.version() == 0 ? FirstYieldTime : YieldTime;
+  if (!this->MayBeOutranked() || Now - this->ClaimableSince >= Yield)
     co_await this->claim();
 }
 
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -246,7 +246,9 @@
 }
 
 Async<HttpResponse> SiteDaemon::State::answerReadiness() {
-  const bool Ready = !this->Stopping && this->Configuration;
+  // Without the table no call can be served: callers do better elsewhere.
+  const bool Ready = !this->Stopping && this->Configuration &&
+                     this->Platform.Store->reachable();
   co_return HttpResponse{.Status = Ready ? 200 : 503};
 }
 
--- a/packages/site/tests/fakestore.h
+++ b/packages/site/tests/fakestore.h
@@ -63,6 +63,10 @@
   }
 
   void setRelays(std::vector<Endpoint>) override {}
+  bool reachable() const override {
+    return this->Reachable && (this->ReachableCalls < 0 ||
+                               this->Transactions < this->ReachableCalls);
+  }
   Async<HttpResponse> relay(HttpRequest) override {
     co_return HttpResponse{.Status = 503};
   }
@@ -103,6 +107,8 @@
   std::vector<Transaction> LateOnes;
   std::size_t PageSize = 500;
   int Transactions = 0;
+  bool Reachable = true;
+  int ReachableCalls = -1; ///< Not reachable after so many; -1: no limit.
 
 private:
   CallFault nextFault() {
--- a/packages/site/tests/jobtable_test.cpp
+++ b/packages/site/tests/jobtable_test.cpp
@@ -1,5 +1,6 @@
 #include "fakestore.h"
 #include "jobtable.h"
+#include "sardinerill/site/storecontact.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -149,3 +150,35 @@
       RC_ASSERT_FALSE(Stored);
   });
 }
+
+TEST_CASE("a job is refused at once while the table can't be reached") {
+  // scale-1 at Ingoma grown: 190 callers in a zone that was cut off waited for
+  // their deadline at daemons that could not store their jobs.
+  Table Site;
+  Site.Store.Reachable = false;
+  const auto Refused = Site.accept("a");
+  REQUIRE_FALSE(Refused.has_value());
+  CHECK((Refused.error().Kind == ErrorKind::PlatformUnavailable));
+  CHECK(Site.Store.Transactions == 0); // So it certainly never runs.
+}
+
+TEST_CASE("a job that may be stored is not said to be refused") {
+  Table Site;
+  Site.Store.Faults = {CallFault::Late};
+  Site.Store.ReachableCalls = 1;
+  const auto Unknown = Site.accept("a");
+  REQUIRE_FALSE(Unknown.has_value());
+  CHECK((Unknown.error().Kind == ErrorKind::PlatformOutcomeUnknown));
+}
+
+TEST_CASE("the table is lost after a second without an answer, if calls fail") {
+  const auto at = [](int Ms) { return Instant(milliseconds(Ms)); };
+  StoreContact Contact;
+  Contact.answered(at(1000));
+  CHECK_FALSE(Contact.lost(at(9000))); // Nobody asked.
+  Contact.failed();
+  CHECK_FALSE(Contact.lost(at(2100)));
+  CHECK(Contact.lost(at(2201)));
+  Contact.answered(at(2300));
+  CHECK_FALSE(Contact.lost(at(2301)));
+}
