Jobs stored once the last holder takes on no more count as new

Ruled out: the claim itself (2 s of silence after the table is back). Change: the watch keeps the table's version once the time to take on jobs has passed since the holder's last renewal was seen, or when it sees it leaving; jobs stored with a newer version count as new. That a holder orders no more is reckoned from the same sight, not from the end of a gap in reading. Renewals come every 0.3 s (0.5) and jobs are taken on for 1.1 s after one (1.6), so that more are new. What a new holder loads is used only within that time too. Jobs accepted in the last second before a cut still wait.

--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -37,9 +37,13 @@
   Duration Margin = milliseconds(300);
   /// A holder takes on no new jobs later than this after its last renewal, so
   /// that a successor knows what it can't have started; below both silences.
-  Duration TakeOn = milliseconds(1600);
+  /// It covers a renewal of 0.6 s, as with a slow table, after the time between
+  /// two.
+  Duration TakeOn = milliseconds(1100);
   /// Time between renewals.
-  Duration Renewal = milliseconds(500);
+  Duration Renewal = milliseconds(300);
+  /// Time between two looks of a daemon at a row held by another.
+  Duration Look = milliseconds(500);
   /// A row unchanged for this long, through answered reads, may be claimed.
   Duration Silence = milliseconds(2000);
   /// The same where the holder's address refuses connections.
@@ -60,8 +64,9 @@
   explicit OwnershipWatch(OwnershipTimes Times) : Times(Times) {}
 
   /// Takes in an answered read.
+  /// \param Newest version of the whole store as of the answer.
   void observe(std::int64_t Version, const OwnershipRow &Row, Instant AskedAt,
-               Instant AnsweredAt);
+               Instant AnsweredAt, std::int64_t Newest = 0);
   /// There is no row yet.
   void observeAbsent();
   /// Another process answers in the place of the holder.
@@ -74,8 +79,11 @@
   Predecessor predecessor() const;
   /// \returns until when a predecessor that may order does so at the latest.
   Instant predecessorUntil() const {
-    return this->UnchangedSince + this->Times.Lease;
+    return this->FirstSeenAt + this->Times.Lease;
   }
+  /// \returns the version after which the predecessor has taken on no jobs; 0
+  /// while it may still do so.
+  std::int64_t quietVersion() const { return this->Quiet; }
   /// \returns the version that a claim has to expect; 0 if there is no row.
   std::int64_t version() const { return this->Version; }
   const OwnershipRow &row() const { return this->Row; }
@@ -88,7 +96,9 @@
   bool Known = false;
   bool Gone = false;
   bool Refuses = false;
-  Instant UnchangedSince{};
+  std::int64_t Quiet = 0;
+  Instant FirstSeenAt{};    ///< The present version; it is no newer than that.
+  Instant UnchangedSince{}; ///< The same, seen through answered reads.
   Instant LastAskedAt{};
   Instant LastAnsweredAt{};
 };
--- a/packages/ownership/src/ownership.cpp
+++ b/packages/ownership/src/ownership.cpp
@@ -29,7 +29,8 @@
 }
 
 void OwnershipWatch::observe(std::int64_t Seen, const OwnershipRow &SeenRow,
-                             Instant AskedAt, Instant AnsweredAt) {
+                             Instant AskedAt, Instant AnsweredAt,
+                             std::int64_t Newest) {
   if (this->Known && Seen < this->Version)
     return; // An older answer that was overtaken.
   const bool Changed = !this->Known || Seen != this->Version;
@@ -38,6 +39,15 @@
     this->UnchangedSince = AnsweredAt;
   if (Changed && this->Row.Incarnation != SeenRow.Incarnation)
     this->Gone = this->Refuses = false;
+  if (Changed) {
+    this->FirstSeenAt = AnsweredAt;
+    this->Quiet = 0;
+  }
+  // What is stored from then on is stored after the holder last took on jobs.
+  const bool IsQuiet =
+      SeenRow.Leaving || AskedAt >= this->FirstSeenAt + this->Times.TakeOn;
+  if (this->Quiet == 0 && IsQuiet)
+    this->Quiet = Newest;
   this->Known = true;
   this->Version = Seen;
   this->Row = SeenRow;
--- a/packages/ownership/tests/ownership_test.cpp
+++ b/packages/ownership/tests/ownership_test.cpp
@@ -88,6 +88,59 @@
   CHECK(Held.mayOrder(at(100)));
 }
 
+TEST_CASE("what is stored once the holder takes on no more is known as such") {
+  // trouble-1 at Fleece: the table was down and then the holder's zone was cut
+  // off; all that was accepted in between waited for the cut to end.
+  OwnershipWatch Watch{OwnershipTimes{}};
+  Watch.observe(7, Row, at(0), at(5), 100);
+  CHECK(Watch.quietVersion() == 0);
+  Watch.observe(7, Row, at(1000), at(1005), 110);
+  CHECK(Watch.quietVersion() == 0);
+  Watch.observe(7, Row, at(4000), at(4005), 120); // After an outage.
+  CHECK(Watch.quietVersion() == 120);
+  CHECK(Watch.predecessorUntil() == at(3605));
+  Watch.observe(7, Row, at(4500), at(4505), 130);
+  CHECK(Watch.quietVersion() == 120);
+  Watch.observe(8, Row, at(4600), at(4605), 140); // It lives.
+  CHECK(Watch.quietVersion() == 0);
+  OwnershipRow Leaving = Row;
+  Leaving.Leaving = true;
+  Watch.observe(9, Leaving, at(4700), at(4705), 150);
+  CHECK(Watch.quietVersion() == 150);
+}
+
+TEST_CASE("property: no job that a holder took on passes for untouched") {
+  rc::check([] {
+    const OwnershipTimes Times;
+    OwnershipWatch Watch(Times);
+    HeldOwnership Held(Times, 1, at(0));
+    std::int64_t RowVersion = 1;
+    std::int64_t Newest = 1;
+    std::int64_t LastTaken = 0;
+    const auto Steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 400));
+    std::int64_t NowMs = 0;
+    for (const int Step : Steps) {
+      NowMs += Step;
+      if (Step % 4 == 0) { // A renewal; its answer may be lost.
+        RowVersion = ++Newest;
+        if (Step % 8 == 0)
+          Held.renewed(at(NowMs - Step / 2));
+      }
+      if (Step % 4 == 1) { // A job is stored, and perhaps taken on.
+        ++Newest;
+        if (Held.mayTakeOn(at(NowMs)))
+          LastTaken = Newest;
+      }
+      if (Step % 4 >= 2) // Asked now, answered a little later.
+        Watch.observe(RowVersion, Row, at(NowMs), at(NowMs + Step / 4), Newest);
+      if (Watch.quietVersion() != 0)
+        RC_ASSERT(LastTaken <= Watch.quietVersion() ||
+                  RowVersion != Watch.version());
+    }
+  });
+}
+
 TEST_CASE("an older answer that was overtaken is ignored") {
   OwnershipWatch Watch{OwnershipTimes{}};
   Watch.observe(9, Row, at(0), at(5));
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -44,8 +44,16 @@
 /// \returns when the last holder had given its last order.
 Instant lastOrderOf(const Succession &From) {
   return From.Before == Predecessor::MayOrder
-             ? std::max(From.PredecessorUntil, From.ClaimSentAt)
-             : From.ClaimSentAt;
+             ? From.PredecessorUntil
+             : std::min(From.PredecessorUntil, From.ClaimSentAt);
+}
+
+/// \returns whether an earlier holder may have started a job that was stored
+/// with \p Version.
+bool mayBeStarted(const Succession &From, std::int64_t Version) {
+  if (From.QuietVersion != 0 && Version > From.QuietVersion)
+    return false;
+  return Version < From.Token;
 }
 
 /// \returns when all that earlier holders started has ended or was heard of.
@@ -141,7 +149,7 @@
     return;
   const std::int64_t AgeMs =
       std::max<std::int64_t>(0, unixMillis() - Change.Spec->AcceptedAtMs);
-  const bool Inherited = Change.Version < this->From.Token;
+  const bool Inherited = mayBeStarted(this->From, Change.Version);
   // The time of day may have jumped: only an inherited job's age is trusted.
   const Instant AcceptedAt =
       Change.Version < this->From.Token ? Now - milliseconds(AgeMs) : Now;
@@ -166,7 +174,8 @@
     const auto Stored = co_await this->Parts.Jobs.loadAll();
     if (this->Context->Stopped)
       co_return;
-    if (!Stored) {
+    // Without a recent renewal a successor may not expect what is read here.
+    if (!Stored || !this->Ownership.mayTakeOn(this->Parts.Clock.now())) {
       co_await pauseFor(RetryPause);
       continue;
     }
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -37,6 +37,9 @@
   Predecessor Before = Predecessor::None;
   Instant ClaimSentAt{};
   Instant PredecessorUntil{}; ///< It gives no orders later than this.
+  /// Jobs stored with a newer version were not taken on by any predecessor; 0:
+  /// not known.
+  std::int64_t QuietVersion = 0;
 };
 
 class Holder : public std::enable_shared_from_this<Holder> {
--- a/packages/site/src/ownershipkeeper.cpp
+++ b/packages/site/src/ownershipkeeper.cpp
@@ -55,7 +55,8 @@
       co_await this->watch();
     else
       co_return;
-    co_await this->Look.wait(this->Times.Renewal);
+    co_await this->Look.wait(this->Held ? this->Times.Renewal
+                                        : this->Times.Look);
   }
 }
 
@@ -135,7 +136,8 @@
   if (!Site) {
     this->Watch.observeAbsent();
   } else if (const auto Read = decodeOwnership(Site->Value)) {
-    this->Watch.observe(Site->Version, *Read, AskedAt, this->Parts.Clock.now());
+    this->Watch.observe(Site->Version, *Read, AskedAt, this->Parts.Clock.now(),
+                        Page->NewestVersion);
     if (Read->Incarnation == this->Incarnation && !Read->Released && Epoch &&
         !this->Releasing) {
       // A claim that brought no answer was carried out.
@@ -198,7 +200,8 @@
                       .Term = Mine.Term,
                       .Before = Before,
                       .ClaimSentAt = SentAt,
-                      .PredecessorUntil = this->Watch.predecessorUntil()});
+                      .PredecessorUntil = this->Watch.predecessorUntil(),
+                      .QuietVersion = this->Watch.quietVersion()});
 }
 
 Async<void> OwnershipKeeper::release() {
