What runs unseen is no more than the silent upstreams hold

Ruled out: the block of inherited jobs itself, which does not hold new ones. Change: per pool, unseen use counts up to the capacity of upstreams that VMs run or the registry lists and that have not answered. Work that fills takes no capacity and counts in full. Test: a ceiling with a silent upstream and a long queue.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -197,7 +197,7 @@
   auto &Hosted = this->Inner->Hosted.emplace();
   for (const VmRecord &Vm : Vms)
     if (Vm.State == VmState::Up && !Vm.Upstream.empty())
-      Hosted[Vm.Pool].push_back(Vm.Upstream);
+      Hosted[Vm.Pool][Vm.Upstream] = Vm.Capacity;
 }
 
 UpstreamLoad Scheduler::loadOf(const UpstreamId &Id, Instant Now) const {
--- a/packages/scheduling/src/schedulerplacing.cpp
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -27,6 +27,12 @@
 /// Tickets are not used in the last part of their validity.
 constexpr milliseconds TicketMargin{150};
 
+Resources smallerOf(const Resources &Left, const Resources &Right) {
+  return {.CpuMilli = std::min(Left.CpuMilli, Right.CpuMilli),
+          .MemoryMb = std::min(Left.MemoryMb, Right.MemoryMb),
+          .Accelerators = std::min(Left.Accelerators, Right.Accelerators)};
+}
+
 } // namespace
 
 bool Scheduler::State::hasSilentUpstream(const PoolId &Pool) const {
@@ -39,12 +45,32 @@
     return true;
   const auto Hosts = this->Hosted->find(Pool);
   return Hosts != this->Hosted->end() &&
-         std::ranges::any_of(Hosts->second, [this](const UpstreamId &Id) {
-           const auto Found = this->Upstreams.find(Id);
-           return Found == this->Upstreams.end() || !Found->second->Answered;
+         std::ranges::any_of(Hosts->second, [this](const auto &Entry) {
+           return !this->hasAnswered(Entry.first);
          });
 }
 
+bool Scheduler::State::hasAnswered(const UpstreamId &Id) const {
+  const auto Found = this->Upstreams.find(Id);
+  return Found != this->Upstreams.end() && Found->second->Answered;
+}
+
+Resources Scheduler::State::silentCapacity(const PoolId &Pool) const {
+  Resources Sum;
+  const auto Hosts = this->Hosted->find(Pool);
+  if (Hosts != this->Hosted->end())
+    for (const auto &[Id, Capacity] : Hosts->second)
+      if (!this->hasAnswered(Id))
+        Sum += Capacity;
+  if (const auto Reported = this->ByPool.find(Pool);
+      Reported != this->ByPool.end())
+    for (const UpstreamRecord *Each : Reported->second)
+      if (!Each->Answered && (Hosts == this->Hosted->end() ||
+                              !Hosts->second.contains(Each->Report.Id)))
+        Sum += Each->Report.Capacity;
+  return Sum;
+}
+
 void Scheduler::State::findHeardPools(Instant Now) {
   this->HeardPools.clear();
   this->InheritedOver = Now >= this->Options.InheritedUntil;
@@ -131,10 +157,13 @@
   this->Unseen.clear();
   if (Now >= this->Options.InheritedUntil)
     return;
+  std::map<std::pair<PoolId, OrganisationId>, Resources> Startable;
   for (const JobId &Id : this->LiveJobs) {
     const JobRecord &Job = *this->Jobs.at(Id);
-    if (!this->isBlocked(Job, this->settingsOf(Job).Pool))
+    const PoolId &Pool = this->settingsOf(Job).Pool;
+    if (!this->isBlocked(Job, Pool))
       continue;
+    Resources &Sum = Startable[{Pool, Job.Spec.Organisation}];
     for (const auto &[Number, Occurrence] : Job.Occurrences)
       for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
         if (!isReady(Job.Spec, Occurrence, int(Step)))
@@ -143,10 +172,16 @@
             Occurrence.Steps[Step].Tasks, [](const TaskRecord &Task) {
               return !Task.Done && Task.Runs.empty();
             });
-        this->Unseen[Job.Spec.Organisation] +=
-            Job.Spec.Steps[Step].Need * Unknown;
+        const StepSpec &Spec = Job.Spec.Steps[Step];
+        // What fills takes no capacity, and is not bounded by it.
+        (Spec.Fills ? this->Unseen[Job.Spec.Organisation] : Sum) +=
+            Spec.Need * Unknown;
       }
   }
+  // No more of it runs than the silent upstreams hold.
+  for (const auto &[Key, Sum] : Startable)
+    this->Unseen[Key.second] +=
+        this->Hosted ? smallerOf(Sum, this->silentCapacity(Key.first)) : Sum;
 }
 
 Resources
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -74,6 +74,10 @@
                       Instant Now) const;
   void findHeardPools(Instant Now);
   bool hasSilentUpstream(const PoolId &Pool) const;
+  bool hasAnswered(const UpstreamId &Id) const;
+  /// \returns what the upstreams of \p Pool that have not answered hold at
+  /// most.
+  Resources silentCapacity(const PoolId &Pool) const;
   bool isBlocked(const JobRecord &Job, const PoolId &Pool) const;
   WaitingWork weigh(const JobRecord &Job, const QueueSettings &Queue,
                     const OccurrenceRecord &Occurrence, Instant Now) const;
@@ -118,7 +122,7 @@
   std::map<UpstreamId, std::unique_ptr<UpstreamRecord>> Upstreams;
   std::map<PoolId, std::vector<UpstreamRecord *>> ByPool;
   /// The upstreams that VMs of each pool run; none before the first list.
-  std::optional<std::map<PoolId, std::vector<UpstreamId>>> Hosted;
+  std::optional<std::map<PoolId, std::map<UpstreamId, Resources>>> Hosted;
   /// Whether the last run of an earlier holder has ended by now.
   bool InheritedOver = false;
   /// Pools whose upstreams have all answered; found anew for each decision.
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -340,6 +340,24 @@
   CHECK(Asked() == 2000);
 }
 
+TEST_CASE("unseen use is no more than the silent upstreams hold") {
+  // trouble-2 at Fleece grown: after a holder was cut off, what waited counted
+  // as running unseen, and new jobs of the same organisations were not started.
+  TestSite Site({.Term = 1, .InheritedUntil = at(5000)});
+  Site.Configuration.Organisations[0].Ceiling = {10000, 0, 0};
+  Site.Plan.configure(Site.Configuration);
+  Site.add("u1", 8000);
+  Site.Vms.push_back({.Id = VmId("vm-u2"),
+                      .Pool = PoolId("pool"),
+                      .State = VmState::Up,
+                      .Capacity = {4000, 100000, 0},
+                      .Upstream = UpstreamId("u2")});
+  Site.Plan.listHosted(Site.Vms);
+  Site.submit(jobOf(Job.str(), {stepOf(50, 1000, 500)}), true);
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(8, 1000, 500)}), false);
+  CHECK(Site.decide().size() == 6); // 10 less the 4 that u2 may run.
+}
+
 TEST_CASE("a gang starts whole or not at all, with one number") {
   TestSite Site;
   Site.add("u1", 2000);
--- a/packages/scheduling/tests/testsite.h
+++ b/packages/scheduling/tests/testsite.h
@@ -105,6 +105,7 @@
     this->Vms.push_back({.Id = VmId("vm-" + Id),
                          .Pool = PoolId(Pool),
                          .State = VmState::Up,
+                         .Capacity = {8000, 100000, 0},
                          .Upstream = UpstreamId(Id)});
     this->Plan.listHosted(this->Vms);
   }
