--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -48,6 +48,7 @@
 
 /// Why a task that lasts does not leave its upstream.
 struct StayingTask {
+  bool Stays = false; ///< Otherwise the rest is empty.
   TaskId Task;
   int OthersAway = 0; ///< Tasks of its step that are not at work.
   int Allowed = 0;    ///< How many may be away by our orders.
@@ -169,7 +170,7 @@
   /// was certainly not carried out.
   void expectEnd(const UpstreamId &Id, bool Ends);
   /// \returns the first task on \p Id that has to stay there for now.
-  std::optional<StayingTask> stayingTask(const UpstreamId &Id, Instant Now);
+  StayingTask stayingTask(const UpstreamId &Id, Instant Now);
 
 private:
   struct State;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -194,7 +194,9 @@
 }
 
 void Scheduler::listHosted(const std::vector<VmRecord> &Vms) {
-  auto &Hosted = this->Inner->Hosted.emplace();
+  auto &Hosted = this->Inner->Hosted;
+  Hosted.clear();
+  this->Inner->VmsListed = true;
   for (const VmRecord &Vm : Vms)
     if (Vm.State == VmState::Up && !Vm.Upstream.empty())
       Hosted[Vm.Pool][Vm.Upstream] = Vm.Capacity;
--- a/packages/scheduling/src/schedulercare.cpp
+++ b/packages/scheduling/src/schedulercare.cpp
@@ -195,8 +195,8 @@
 
 bool Scheduler::wantsEarlyLook(const UpstreamId &Id, Instant Now) const {
   const auto Found = this->Inner->Upstreams.find(Id);
-  if (Found == this->Inner->Upstreams.end() || !this->Inner->EvacuatedAt ||
-      Now - *this->Inner->EvacuatedAt > EvacuationMemory)
+  if (Found == this->Inner->Upstreams.end() ||
+      Now >= this->Inner->EvacuatingUntil)
     return false;
   return std::ranges::any_of(Found->second->Runs, [&](const auto &Entry) {
     const StepSpec *Step = this->Inner->spec(Entry.first.Task);
@@ -213,7 +213,7 @@
     if (!Step || !Step->LongRunning)
       continue;
     ++Left;
-    this->EvacuatedAt = Now;
+    this->EvacuatingUntil = Now + EvacuationMemory;
     if (!Candidate->StopWanted && Candidate->Phase == RunPhase::Active &&
         this->mayInterrupt(Candidate, Now, 0) &&
         this->hasOtherPlace(Candidate, IntoDue, Now)) {
@@ -247,23 +247,22 @@
     Found->second->Ending = Ends;
 }
 
-std::optional<StayingTask> Scheduler::stayingTask(const UpstreamId &Id,
-                                                  Instant Now) {
+StayingTask Scheduler::stayingTask(const UpstreamId &Id, Instant Now) {
   const auto Found = this->Inner->Upstreams.find(Id);
   if (Found == this->Inner->Upstreams.end())
-    return std::nullopt;
+    return {};
   for (const auto &[RunKey, Candidate] : Found->second->Runs) {
     const StepSpec *Step = this->Inner->spec(RunKey.Task);
     if (!Step || !Step->LongRunning || Candidate->StopWanted)
       continue;
     const JobRecord &Job = *this->Inner->job(RunKey.Task.Job);
-    return StayingTask{
-        .Task = RunKey.Task,
-        .OthersAway = this->Inner->othersAway(Job, RunKey.Task, Now),
-        .Allowed = Step->MaxUnavailable,
-        .HasOtherPlace = this->Inner->hasOtherPlace(Candidate, true, Now)};
+    return {.Stays = true,
+            .Task = RunKey.Task,
+            .OthersAway = this->Inner->othersAway(Job, RunKey.Task, Now),
+            .Allowed = Step->MaxUnavailable,
+            .HasOtherPlace = this->Inner->hasOtherPlace(Candidate, true, Now)};
   }
-  return std::nullopt;
+  return {};
 }
 
 bool Scheduler::mayInterrupt(const UpstreamId &Id, Instant Now) const {
--- /dev/null
+++ b/packages/scheduling/src/schedulerdemand.cpp
@@ -0,0 +1,74 @@
+#include "jobgraph.h"
+#include "placement.h"
+#include "schedulerstate.h"
+
+#include <algorithm>
+
+/// \file
+/// What each pool needs, as the planner of VMs is told.
+
+namespace sardinerill::site {
+
+namespace {
+
+/// Part of its processors that work asks VMs for once it is late or beyond its
+/// organisation's share: a job that is late is worth a tenth, and whoever is in
+/// time in another pool goes before it.
+constexpr double LateWorkShare = 0.2;
+/// From the choice of a VM until it takes tasks in its new pool: the move
+/// (1.5 s), its entry in the registry, and the looks at both.
+constexpr double SecondsToGrow = 2.2;
+
+} // namespace
+
+double Scheduler::State::demandShare(const JobRecord &Job,
+                                     const OccurrenceRecord &Occurrence,
+                                     Instant Now) const {
+  const WaitingWork Work =
+      this->weigh(Job, this->settingsOf(Job), Occurrence, Now);
+  return Work.CanBeInTime && !Work.OverShare ? 1.0 : LateWorkShare;
+}
+
+std::map<PoolId, PoolDemand> Scheduler::demand(Instant Now) const {
+  std::map<PoolId, PoolDemand> Demand;
+  for (const JobId &Id : this->Inner->LiveJobs) {
+    const JobRecord &Job = *this->Inner->Jobs.at(Id);
+    PoolDemand &Pool = Demand[this->Inner->settingsOf(Job).Pool];
+    const bool Lasts = isLasting(Job.Spec);
+    for (const auto &[Number, Occurrence] : Job.Occurrences) {
+      const double Part =
+          Lasts ? 1.0 : this->Inner->demandShare(Job, Occurrence, Now);
+      for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
+        if (!isReady(Job.Spec, Occurrence, int(Step)))
+          continue;
+        const StepSpec &Spec = Job.Spec.Steps[Step];
+        const auto Cpu = std::int64_t(Part * double(chargedTo(Spec).CpuMilli));
+        if (Spec.LongRunning && Spec.MaxPerUpstream > 0)
+          Pool.SpreadVms =
+              std::max(Pool.SpreadVms, (Spec.Count + Spec.MaxPerUpstream - 1) /
+                                           Spec.MaxPerUpstream);
+        for (const TaskRecord &Task : Occurrence.Steps[Step].Tasks) {
+          if (Task.Done)
+            continue;
+          Pool.CpuMilli += Cpu;
+          if (Lasts)
+            Pool.LastingCpuMilli += Cpu;
+          if (Task.Runs.empty())
+            Pool.WaitingCpuMilli += Cpu;
+        }
+      }
+    }
+  }
+  for (const auto &[Queue, Meter] : this->Inner->ArrivingWork)
+    if (const QueueSettings *Settings =
+            this->Inner->Configuration.queue(Queue)) {
+      const auto Learned = this->Inner->Learned.find(Queue);
+      const double Factor =
+          Learned == this->Inner->Learned.end() ? 1.0 : Learned->second.Factor;
+      Demand[Settings->Pool].ArrivingCpuMilli +=
+          std::int64_t(Meter.expected(Now, SecondsToGrow) * Factor * 1000);
+    }
+  return Demand;
+}
+
+} // namespace sardinerill::site
--- /dev/null
+++ b/packages/scheduling/src/schedulerinherited.cpp
@@ -0,0 +1,114 @@
+#include "jobgraph.h"
+#include "schedulerstate.h"
+
+#include <algorithm>
+
+/// \file
+/// What a holder has to expect of the holders before it.
+///
+/// Load pattern: a zone is cut off with its holder in the middle of a peak. Its
+/// successor hears two thirds of the upstreams; the others run on, and their
+/// entries vanish from the registry.
+
+namespace sardinerill::site {
+
+namespace {
+
+Resources smallerOf(const Resources &Left, const Resources &Right) {
+  return {.CpuMilli = std::min(Left.CpuMilli, Right.CpuMilli),
+          .MemoryMb = std::min(Left.MemoryMb, Right.MemoryMb),
+          .Accelerators = std::min(Left.Accelerators, Right.Accelerators)};
+}
+
+} // namespace
+
+bool Scheduler::State::hasSilentUpstream(const PoolId &Pool) const {
+  const auto Reported = this->ByPool.find(Pool);
+  if (!this->VmsListed || Reported == this->ByPool.end())
+    return true; // Nothing is known yet.
+  if (std::ranges::any_of(Reported->second, [](const UpstreamRecord *Each) {
+        return !Each->Answered;
+      }))
+    return true;
+  const auto Hosts = this->Hosted.find(Pool);
+  return Hosts != this->Hosted.end() &&
+         std::ranges::any_of(Hosts->second, [this](const auto &Entry) {
+           return !this->hasAnswered(Entry.first);
+         });
+}
+
+bool Scheduler::State::hasAnswered(const UpstreamId &Id) const {
+  const auto Found = this->Upstreams.find(Id);
+  return Found != this->Upstreams.end() && Found->second->Answered;
+}
+
+Resources Scheduler::State::silentCapacity(const PoolId &Pool) const {
+  Resources Sum;
+  const auto Hosts = this->Hosted.find(Pool);
+  if (Hosts != this->Hosted.end())
+    for (const auto &[Id, Capacity] : Hosts->second)
+      if (!this->hasAnswered(Id))
+        Sum += Capacity;
+  if (const auto Reported = this->ByPool.find(Pool);
+      Reported != this->ByPool.end())
+    for (const UpstreamRecord *Each : Reported->second)
+      if (!Each->Answered && (Hosts == this->Hosted.end() ||
+                              !Hosts->second.contains(Each->Report.Id)))
+        Sum += Each->Report.Capacity;
+  return Sum;
+}
+
+void Scheduler::State::findHeardPools(Instant Now) {
+  this->HeardPools.clear();
+  this->InheritedOver = Now >= this->Options.InheritedUntil;
+  if (this->InheritedOver)
+    return;
+  for (const auto &[Id, Members] : this->ByPool)
+    if (!this->hasSilentUpstream(Id))
+      this->HeardPools.insert(Id);
+}
+
+bool Scheduler::State::isBlocked(const JobRecord &Job,
+                                 const PoolId &Pool) const {
+  return Job.Inherited && !this->InheritedOver &&
+         !this->HeardPools.contains(Pool);
+}
+
+void Scheduler::State::countUnseenUse(Instant Now) {
+  this->Unseen.clear();
+  if (Now >= this->Options.InheritedUntil)
+    return;
+  std::map<std::pair<PoolId, OrganisationId>, Resources> Startable;
+  for (const JobId &Id : this->LiveJobs) {
+    const JobRecord &Job = *this->Jobs.at(Id);
+    const PoolId &Pool = this->settingsOf(Job).Pool;
+    if (!this->isBlocked(Job, Pool))
+      continue;
+    Resources &Sum = Startable[{Pool, Job.Spec.Organisation}];
+    for (const auto &[Number, Occurrence] : Job.Occurrences)
+      for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
+        if (!isReady(Job.Spec, Occurrence, int(Step)))
+          continue;
+        const auto Unknown = std::ranges::count_if(
+            Occurrence.Steps[Step].Tasks, [](const TaskRecord &Task) {
+              return !Task.Done && Task.Runs.empty();
+            });
+        const StepSpec &Spec = Job.Spec.Steps[Step];
+        // What fills takes no capacity, and is not bounded by it.
+        (Spec.Fills ? this->Unseen[Job.Spec.Organisation] : Sum) +=
+            Spec.Need * Unknown;
+      }
+  }
+  // No more of it runs than the silent upstreams hold.
+  for (const auto &[Key, Sum] : Startable)
+    this->Unseen[Key.second] +=
+        this->VmsListed ? smallerOf(Sum, this->silentCapacity(Key.first)) : Sum;
+}
+
+Resources
+Scheduler::State::unseenUse(const OrganisationId &Organisation) const {
+  const auto Found = this->Unseen.find(Organisation);
+  return Found == this->Unseen.end() ? Resources{} : Found->second;
+}
+
+} // namespace sardinerill::site
--- a/packages/scheduling/src/schedulerplacing.cpp
+++ b/packages/scheduling/src/schedulerplacing.cpp
@@ -17,92 +17,18 @@
 /// of its objective: estimates are off by half, and what was begun is lost for
 /// others if it is not finished.
 constexpr double PatienceShare = 0.4;
-/// Part of its processors that work asks VMs for once it is late or beyond its
-/// organisation's share: a job that is late is worth a tenth, and whoever is in
-/// time in another pool goes before it.
-constexpr double LateWorkShare = 0.2;
-/// From the choice of a VM until it takes tasks in its new pool: the move
-/// (1.5 s), its entry in the registry, and the looks at both.
-constexpr double SecondsToGrow = 2.2;
 /// Tickets are not used in the last part of their validity.
 constexpr milliseconds TicketMargin{150};
 
-Resources smallerOf(const Resources &Left, const Resources &Right) {
-  return {.CpuMilli = std::min(Left.CpuMilli, Right.CpuMilli),
-          .MemoryMb = std::min(Left.MemoryMb, Right.MemoryMb),
-          .Accelerators = std::min(Left.Accelerators, Right.Accelerators)};
-}
-
 } // namespace
 
-bool Scheduler::State::hasSilentUpstream(const PoolId &Pool) const {
-  const auto Reported = this->ByPool.find(Pool);
-  if (!this->Hosted || Reported == this->ByPool.end())
-    return true; // Nothing is known yet.
-  if (std::ranges::any_of(Reported->second, [](const UpstreamRecord *Each) {
-        return !Each->Answered;
-      }))
-    return true;
-  const auto Hosts = this->Hosted->find(Pool);
-  return Hosts != this->Hosted->end() &&
-         std::ranges::any_of(Hosts->second, [this](const auto &Entry) {
-           return !this->hasAnswered(Entry.first);
-         });
-}
-
-bool Scheduler::State::hasAnswered(const UpstreamId &Id) const {
-  const auto Found = this->Upstreams.find(Id);
-  return Found != this->Upstreams.end() && Found->second->Answered;
-}
-
-Resources Scheduler::State::silentCapacity(const PoolId &Pool) const {
-  Resources Sum;
-  const auto Hosts = this->Hosted->find(Pool);
-  if (Hosts != this->Hosted->end())
-    for (const auto &[Id, Capacity] : Hosts->second)
-      if (!this->hasAnswered(Id))
-        Sum += Capacity;
-  if (const auto Reported = this->ByPool.find(Pool);
-      Reported != this->ByPool.end())
-    for (const UpstreamRecord *Each : Reported->second)
-      if (!Each->Answered && (Hosts == this->Hosted->end() ||
-                              !Hosts->second.contains(Each->Report.Id)))
-        Sum += Each->Report.Capacity;
-  return Sum;
-}
-
-void Scheduler::State::findHeardPools(Instant Now) {
-  this->HeardPools.clear();
-  this->InheritedOver = Now >= this->Options.InheritedUntil;
-  if (this->InheritedOver)
-    return;
-  for (const auto &[Id, Members] : this->ByPool)
-    if (!this->hasSilentUpstream(Id))
-      this->HeardPools.insert(Id);
-}
-
-bool Scheduler::State::isBlocked(const JobRecord &Job,
-                                 const PoolId &Pool) const {
-  return Job.Inherited && !this->InheritedOver &&
-         !this->HeardPools.contains(Pool);
-}
-
-bool Scheduler::State::hasWaitingTask(const StepRecord &Step, const StepSpec &,
+bool Scheduler::State::hasWaitingTask(const StepRecord &Step,
                                       Instant Now) const {
   return std::ranges::any_of(Step.Tasks, [&](const TaskRecord &Task) {
     return !Task.Done && Task.Runs.empty() && Task.NotBefore <= Now;
   });
 }
 
-double Scheduler::State::usePerShare(const OrganisationId &Organisation) const {
-  const auto Used = this->InUse.find(Organisation);
-  const OrganisationSettings *Settings =
-      this->Configuration.organisation(Organisation);
-  if (Used == this->InUse.end() || !Settings || Settings->Share <= 0)
-    return 0;
-  return double(Used->second.CpuMilli) / Settings->Share;
-}
-
 WaitingWork Scheduler::State::weigh(const JobRecord &Job,
                                     const QueueSettings &Queue,
                                     const OccurrenceRecord &Occurrence,
@@ -141,8 +67,7 @@
       if (Occurrence.OpenTasks == 0)
         continue;
       for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
-        const StepSpec &Spec = Job.Spec.Steps[Step];
-        if (!this->hasWaitingTask(Occurrence.Steps[Step], Spec, Now) ||
+        if (!this->hasWaitingTask(Occurrence.Steps[Step], Now) ||
             !isReady(Job.Spec, Occurrence, int(Step)))
           continue;
         Waiting.push_back({&Job, &Queue, Number, int(Step),
@@ -153,43 +78,6 @@
   return Waiting;
 }
 
-void Scheduler::State::countUnseenUse(Instant Now) {
-  this->Unseen.clear();
-  if (Now >= this->Options.InheritedUntil)
-    return;
-  std::map<std::pair<PoolId, OrganisationId>, Resources> Startable;
-  for (const JobId &Id : this->LiveJobs) {
-    const JobRecord &Job = *this->Jobs.at(Id);
-    const PoolId &Pool = this->settingsOf(Job).Pool;
-    if (!this->isBlocked(Job, Pool))
-      continue;
-    Resources &Sum = Startable[{Pool, Job.Spec.Organisation}];
-    for (const auto &[Number, Occurrence] : Job.Occurrences)
-      for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
-        if (!isReady(Job.Spec, Occurrence, int(Step)))
-          continue;
-        const auto Unknown = std::ranges::count_if(
-            Occurrence.Steps[Step].Tasks, [](const TaskRecord &Task) {
-              return !Task.Done && Task.Runs.empty();
-            });
-        const StepSpec &Spec = Job.Spec.Steps[Step];
-        // What fills takes no capacity, and is not bounded by it.
-        (Spec.Fills ? this->Unseen[Job.Spec.Organisation] : Sum) +=
-            Spec.Need * Unknown;
-      }
-  }
-  // No more of it runs than the silent upstreams hold.
-  for (const auto &[Key, Sum] : Startable)
-    this->Unseen[Key.second] +=
-        this->Hosted ? smallerOf(Sum, this->silentCapacity(Key.first)) : Sum;
-}
-
-Resources
-Scheduler::State::unseenUse(const OrganisationId &Organisation) const {
-  const auto Found = this->Unseen.find(Organisation);
-  return Found == this->Unseen.end() ? Resources{} : Found->second;
-}
-
 bool Scheduler::State::underCeiling(const OrganisationId &Organisation,
                                     const Resources &More) const {
   const OrganisationSettings *Settings =
@@ -398,54 +286,4 @@
     Record.Tickets[Id] = {Ticket, Now + Validity - TicketMargin};
 }
 
-double Scheduler::State::demandShare(const JobRecord &Job,
-                                     const OccurrenceRecord &Occurrence,
-                                     Instant Now) const {
-  const WaitingWork Work =
-      this->weigh(Job, this->settingsOf(Job), Occurrence, Now);
-  return Work.CanBeInTime && !Work.OverShare ? 1.0 : LateWorkShare;
-}
-
-std::map<PoolId, PoolDemand> Scheduler::demand(Instant Now) const {
-  std::map<PoolId, PoolDemand> Demand;
-  for (const JobId &Id : this->Inner->LiveJobs) {
-    const JobRecord &Job = *this->Inner->Jobs.at(Id);
-    PoolDemand &Pool = Demand[this->Inner->settingsOf(Job).Pool];
-    const bool Lasts = isLasting(Job.Spec);
-    for (const auto &[Number, Occurrence] : Job.Occurrences) {
-      const double Part =
-          Lasts ? 1.0 : this->Inner->demandShare(Job, Occurrence, Now);
-      for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
-        if (!isReady(Job.Spec, Occurrence, int(Step)))
-          continue;
-        const StepSpec &Spec = Job.Spec.Steps[Step];
-        const auto Cpu = std::int64_t(Part * double(chargedTo(Spec).CpuMilli));
-        if (Spec.LongRunning && Spec.MaxPerUpstream > 0)
-          Pool.SpreadVms =
-              std::max(Pool.SpreadVms, (Spec.Count + Spec.MaxPerUpstream - 1) /
-                                           Spec.MaxPerUpstream);
-        for (const TaskRecord &Task : Occurrence.Steps[Step].Tasks) {
-          if (Task.Done)
-            continue;
-          Pool.CpuMilli += Cpu;
-          if (Lasts)
-            Pool.LastingCpuMilli += Cpu;
-          if (Task.Runs.empty())
-            Pool.WaitingCpuMilli += Cpu;
-        }
-      }
-    }
-  }
-  for (const auto &[Queue, Meter] : this->Inner->ArrivingWork)
-    if (const QueueSettings *Settings =
-            this->Inner->Configuration.queue(Queue)) {
-      const auto Learned = this->Inner->Learned.find(Queue);
-      const double Factor =
-          Learned == this->Inner->Learned.end() ? 1.0 : Learned->second.Factor;
-      Demand[Settings->Pool].ArrivingCpuMilli +=
-          std::int64_t(Meter.expected(Now, SecondsToGrow) * Factor * 1000);
-    }
-  return Demand;
-}
-
 } // namespace sardinerill::site
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -70,20 +70,9 @@
 
   // Placing (schedulerplacing.cpp)
   std::vector<WaitingStep> waitingSteps(Instant Now);
-  bool hasWaitingTask(const StepRecord &Step, const StepSpec &Spec,
-                      Instant Now) const;
-  void findHeardPools(Instant Now);
-  bool hasSilentUpstream(const PoolId &Pool) const;
-  bool hasAnswered(const UpstreamId &Id) const;
-  /// \returns what the upstreams of \p Pool that have not answered hold at
-  /// most.
-  Resources silentCapacity(const PoolId &Pool) const;
-  bool isBlocked(const JobRecord &Job, const PoolId &Pool) const;
+  bool hasWaitingTask(const StepRecord &Step, Instant Now) const;
   WaitingWork weigh(const JobRecord &Job, const QueueSettings &Queue,
                     const OccurrenceRecord &Occurrence, Instant Now) const;
-  /// \returns which part of what \p Job could use its pool asks VMs for.
-  double demandShare(const JobRecord &Job, const OccurrenceRecord &Occurrence,
-                     Instant Now) const;
   bool placeTasks(const WaitingStep &Waiting, Instant Now);
   bool placeGang(const WaitingStep &Waiting, Instant Now);
   bool placeTask(const WaitingStep &Waiting, int Index, Instant Now);
@@ -91,13 +80,26 @@
   bool mayFit(const PoolId &Pool, const Resources &Need);
   bool underCeiling(const OrganisationId &Organisation,
                     const Resources &More) const;
-  void countUnseenUse(Instant Now);
-  Resources unseenUse(const OrganisationId &Organisation) const;
   void start(UpstreamRecord &Where, const WaitingStep &Waiting, int Index,
              int Number, Instant Now);
   int nextNumber(const JobRecord &Job, const TaskRecord &Task) const;
   bool askAdvice(const WaitingStep &Waiting, Instant Now);
-  double usePerShare(const OrganisationId &Organisation) const;
+
+  // Expectations of earlier holders (schedulerinherited.cpp)
+  void findHeardPools(Instant Now);
+  bool hasSilentUpstream(const PoolId &Pool) const;
+  bool hasAnswered(const UpstreamId &Id) const;
+  /// \returns what the upstreams of \p Pool that have not answered hold at
+  /// most.
+  Resources silentCapacity(const PoolId &Pool) const;
+  bool isBlocked(const JobRecord &Job, const PoolId &Pool) const;
+  void countUnseenUse(Instant Now);
+  Resources unseenUse(const OrganisationId &Organisation) const;
+
+  // Demand (schedulerdemand.cpp)
+  /// \returns which part of what \p Job could use its pool asks VMs for.
+  double demandShare(const JobRecord &Job, const OccurrenceRecord &Occurrence,
+                     Instant Now) const;
 
   // Care of what runs (schedulercare.cpp)
   void findSilentZones();
@@ -121,8 +123,9 @@
   std::set<JobId> LiveJobs;
   std::map<UpstreamId, std::unique_ptr<UpstreamRecord>> Upstreams;
   std::map<PoolId, std::vector<UpstreamRecord *>> ByPool;
-  /// The upstreams that VMs of each pool run; none before the first list.
-  std::optional<std::map<PoolId, std::map<UpstreamId, Resources>>> Hosted;
+  /// The upstreams that VMs of each pool run, and what they hold.
+  std::map<PoolId, std::map<UpstreamId, Resources>> Hosted;
+  bool VmsListed = false; ///< Whether that is known.
   /// Whether the last run of an earlier holder has ended by now.
   bool InheritedOver = false;
   /// Pools whose upstreams have all answered; found anew for each decision.
@@ -140,8 +143,8 @@
   std::map<PoolId, Resources> MostFree;
   std::set<UpstreamId> MaintenanceDue;
   std::set<UpstreamId> Cordoned; ///< Reported or not.
-  /// When tasks last had to leave an upstream.
-  std::optional<Instant> EvacuatedAt;
+  /// Until then, tasks are waiting to leave an upstream.
+  Instant EvacuatingUntil{};
   Instant NextRelocation{};
   std::vector<Order> Orders;
   std::set<JobId> ChangedJobs;
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -397,8 +397,8 @@
   Site.decide();
   CHECK(Site.Upstreams.at("u1").Running.size() == 1);
   const auto Staying = Site.Plan.stayingTask(UpstreamId("u1"), at(Site.NowMs));
-  REQUIRE(Staying.has_value());
-  CHECK_FALSE(Staying->HasOtherPlace);
+  REQUIRE(Staying.Stays);
+  CHECK_FALSE(Staying.HasOtherPlace);
 }
 
 TEST_CASE("after a takeover, stops of the last holder may still be under way") {
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -73,8 +73,7 @@
 } // namespace
 
 Holder::Holder(HolderParts Parts, OwnershipTimes Times, Succession From)
-    : Parts(Parts), Times(Times), From(From),
-      Ownership(Times, From.Token, From.ClaimSentAt),
+    : Parts(Parts), From(From), Ownership(Times, From.Token, From.ClaimSentAt),
       Plan(schedulerOptions(Parts, From)), Decide(Parts.Executor),
       Store(Parts.Executor),
       Context(std::make_shared<LinkContext>(
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -82,7 +82,6 @@
   void publishFigures();
 
   HolderParts Parts;
-  OwnershipTimes Times;
   Succession From;
   HeldOwnership Ownership;
   Scheduler Plan;
