--- a/packages/site/src/upstreamlease.cpp
+++ b/packages/site/src/upstreamlease.cpp
@@ -18,12 +18,13 @@
 
 } // namespace
 
-UpstreamLease::UpstreamLease(const SiteBounds &Bounds, Instant InheritedUntil)
+UpstreamLease::UpstreamLease(const SiteBounds &Bounds, Instant InheritedUntil,
+                             Instant Now)
     : Length(std::min<Duration>(
           Duration(std::int64_t(LeaseShare *
                                 double(Duration(Bounds.LongestHold).count()))),
           LeaseTime)),
-      InheritedUntil(InheritedUntil) {}
+      NotBefore(std::max(InheritedUntil, Now + longestLapse(Bounds))) {}
 
 Duration UpstreamLease::longestLapse(const SiteBounds &Bounds) {
   const Duration Lease = std::min<Duration>(Bounds.LongestHold, LeaseTime);
@@ -46,11 +47,12 @@
 }
 
 bool UpstreamLease::hasRunOut(Instant Now) const {
-  // An earlier holder may have prolonged it after this one was told of it.
-  if (Now < this->InheritedUntil)
+  // An earlier holder, or an earlier link to another address of this life, may
+  // have prolonged it.
+  if (Now < this->NotBefore)
     return false;
   if (!this->ClockKnown)
-    return true; // No lease was sent: what ran there was inherited.
+    return true; // No lease was sent from here.
   const double Passed =
       SlowClock * double((Now - this->ClockReadAt - LapseMargin).count());
   return double(this->ClockMs) + Passed / 1000 > double(this->LongestMs);
--- a/packages/site/src/upstreamlease.h
+++ b/packages/site/src/upstreamlease.h
@@ -13,7 +13,8 @@
 class UpstreamLease {
 public:
   /// \param InheritedUntil when the last lease of earlier holders has run out.
-  UpstreamLease(const SiteBounds &Bounds, Instant InheritedUntil);
+  /// \param Now orders may have been sent another way until then.
+  UpstreamLease(const SiteBounds &Bounds, Instant InheritedUntil, Instant Now);
 
   /// \returns the longest time from an order until its lease has run out.
   static Duration longestLapse(const SiteBounds &Bounds);
@@ -29,7 +30,7 @@
 
 private:
   Duration Length;
-  Instant InheritedUntil;
+  Instant NotBefore; ///< Earliest end of what this object has not sent.
   bool ClockKnown = false;
   std::int64_t ClockMs = 0; ///< Of the upstream, as of ClockReadAt.
   Instant ClockReadAt{};
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -38,7 +38,8 @@
                            std::unique_ptr<IUpstreamClient> Client)
     : Context(std::move(Context)), Report(std::move(Report)),
       Client(std::move(Client)),
-      Lease(this->Context->Bounds, this->Context->InheritedUntil) {}
+      Lease(this->Context->Bounds, this->Context->InheritedUntil,
+            this->Context->Clock.now()) {}
 
 void UpstreamLink::run() {
   spawn(this->Context->Executor, "upstream-hold",
--- a/packages/site/tests/upstreamlease_test.cpp
+++ b/packages/site/tests/upstreamlease_test.cpp
@@ -17,23 +17,33 @@
 TEST_CASE("a lease of an earlier holder counts while nothing was heard") {
   // hunt-45ad-3 at Ingoma: a holder in a zone that was cut off went on
   // prolonging the leases of its zone after its successor had claimed.
-  const UpstreamLease Lease(Bounds, at(9000));
+  const UpstreamLease Lease(Bounds, at(9000), at(0));
   CHECK_FALSE(Lease.hasRunOut(at(8999)));
   CHECK(Lease.hasRunOut(at(9000)));
 }
 
 TEST_CASE("an answer before does not shorten what earlier holders sent") {
-  UpstreamLease Lease(Bounds, at(9000));
+  UpstreamLease Lease(Bounds, at(9000), at(0));
   Lease.answered(500, at(1000));
   CHECK_FALSE(Lease.hasRunOut(at(8000)));
 }
 
+TEST_CASE("a new link expects what an earlier one may have sent") {
+  // Found in reading: a life listed under another address gets a new link, and
+  // what the old one had started would have counted as over at once.
+  const UpstreamLease Lease(Bounds, at(0), at(20000));
+  CHECK_FALSE(Lease.hasRunOut(at(20500)));
+  CHECK_FALSE(Lease.hasRunOut(at(20000) + UpstreamLease::longestLapse(Bounds) -
+                              Duration(1)));
+  CHECK(Lease.hasRunOut(at(20000) + UpstreamLease::longestLapse(Bounds)));
+}
+
 TEST_CASE("property: no lease is taken for over while the upstream holds it") {
   rc::check([] {
     // Clocks of upstreams run up to 2% slow, and may run fast.
     const double Rate = *rc::gen::inRange(980, 1050) / 1000.0;
     const std::int64_t Offset = *rc::gen::inRange(0, 1000000);
-    UpstreamLease Lease(Bounds, at(0));
+    UpstreamLease Lease(Bounds, at(0), at(0));
     std::int64_t HeldUntil = 0;
     std::int64_t NowMs = 0;
     const auto Steps =
