Cordons end with the life of their upstream; open findings

Ruled out: dropping them when a link is lost: the same life may be listed again and must stay cordoned. Change: a cordon goes once no VM runs the upstream. Test: one, both halves; the second fails without the change.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -197,9 +197,15 @@
   auto &Hosted = this->Inner->Hosted;
   Hosted.clear();
   this->Inner->VmsListed = true;
-  for (const VmRecord &Vm : Vms)
+  std::set<UpstreamId> Present;
+  for (const VmRecord &Vm : Vms) {
+    Present.insert(Vm.Upstream);
     if (Vm.State == VmState::Up && !Vm.Upstream.empty())
       Hosted[Vm.Pool][Vm.Upstream] = Vm.Capacity;
+  }
+  // The id of an ended life never comes back.
+  std::erase_if(this->Inner->Cordoned,
+                [&](const UpstreamId &Id) { return !Present.contains(Id); });
 }
 
 UpstreamLoad Scheduler::loadOf(const UpstreamId &Id, Instant Now) const {
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -327,6 +327,23 @@
   CHECK(Site.decide().size() == 1);
 }
 
+TEST_CASE("a cordon is kept as long as a VM runs the upstream") {
+  TestSite Site;
+  Site.add("u1", 8000);
+  Site.Plan.cordon(UpstreamId("u1"), true);
+  Site.Plan.listHosted(Site.Vms);
+  Site.Plan.loseUpstream(UpstreamId("u1"), "silent", at(Site.NowMs));
+  Site.Plan.reportUpstream(Site.Upstreams.at("u1").Report, at(Site.NowMs));
+  Site.list(Site.Upstreams.at("u1"));
+  Site.submit(jobOf(Job.str(), {stepOf(1, 1000, 500)}));
+  CHECK(Site.decide().empty()); // The same life.
+  Site.Plan.listHosted({});
+  Site.Plan.loseUpstream(UpstreamId("u1"), "gone", at(Site.NowMs));
+  Site.Plan.reportUpstream(Site.Upstreams.at("u1").Report, at(Site.NowMs));
+  Site.list(Site.Upstreams.at("u1"));
+  CHECK(Site.decide().size() == 1);
+}
+
 TEST_CASE("work that is late asks for a part of its VMs") {
   // trouble-3 at Fleece grown: the late work of one organisation kept 261 VMs
   // in one pool while the next began its peak with 22.
