--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -265,7 +265,7 @@
   // A zone cut off in a peak at Ingoma grown: the other VMs were full, and all
   // that waited went to those that were silent, to be lost with their leases.
   TestSite Site;
-  FakeUpstream &Silent = Site.add("u1", 2000);
+  FakeUpstream &Silent = Site.add("u1", 8000); // Has room left.
   Silent.Silent = true;
   Site.submit(jobOf(Job.str(), {stepOf(2, 1000, 500)}));
   Site.decide();
