--- a/packages/scheduling/tests/plans_test.cpp
+++ b/packages/scheduling/tests/plans_test.cpp
@@ -128,7 +128,7 @@
 }
 
 TEST_CASE("property: a VM moves at most once, and only when it is empty") {
-  rc::check([] {
+  CHECK(rc::check([] {
     std::map<PoolId, PoolDemandAverage> Averages;
     std::vector<PoolView> Pools;
     const int Count = *rc::gen::inRange(2, 6);
@@ -150,7 +150,7 @@
           if (Vm.Id == Move.Vm)
             RC_ASSERT(Vm.Runs == 0);
     }
-  });
+  }));
 }
 
 TEST_CASE(
@@ -174,7 +174,7 @@
 }
 
 TEST_CASE("property: a wave never takes more VMs down than its limit") {
-  rc::check([] {
+  CHECK(rc::check([] {
     WaveView View = waveOf(*rc::gen::inRange(1, 12), *rc::gen::inRange(1, 5));
     int Down = 0;
     for (WaveVm &Vm : View.Vms) {
@@ -191,7 +191,7 @@
       for (const WaveVm &Vm : View.Vms)
         if (Vm.Id == Id)
           RC_ASSERT(Vm.Runs == 0 || Vm.CanInterrupt);
-  });
+  }));
 }
 
 TEST_CASE("best-effort tasks are throttled at once and return in steps") {
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -561,7 +561,7 @@
 }
 
 TEST_CASE("property: evacuations respect a budget, whichever tasks are stuck") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const int Tasks = *rc::gen::inRange(2, 6);
     const int Budget = *rc::gen::inRange(1, Tasks);
     TestSite Site;
@@ -585,7 +585,7 @@
           Site.Upstreams.at(Id).Running.empty() && !Site.Upstreams.at(Id).Hangs;
     }
     RC_ASSERT(Stopped <= std::max(0, Budget - Hung));
-  });
+  }));
 }
 
 TEST_CASE("a task last listed as starting may be available by now") {
@@ -631,7 +631,7 @@
 }
 
 TEST_CASE("property: no task runs twice when answers are lost and runs fail") {
-  rc::check([] {
+  CHECK(rc::check([] {
     TestSite Site;
     Site.add("u1", 4000);
     Site.add("u2", 4000);
@@ -667,5 +667,5 @@
         RC_ASSERT(Used <= 4000);
       }
     }
-  });
+  }));
 }
--- a/packages/site/tests/jobtable_test.cpp
+++ b/packages/site/tests/jobtable_test.cpp
@@ -135,7 +135,7 @@
 }
 
 TEST_CASE("property: the reported outcome of a submission matches the table") {
-  rc::check([] {
+  CHECK(rc::check([] {
     JobTableFixture Fixture;
     const auto Faults = *rc::gen::container<std::vector<int>>(
         *rc::gen::inRange(0, 6), rc::gen::inRange(0, 4));
@@ -151,7 +151,7 @@
     else if (errorResponseFor(Accepted.error().Kind).Execution ==
              ExecutionState::DidNotRun)
       RC_ASSERT_FALSE(Stored);
-  });
+  }));
 }
 
 TEST_CASE("a job is refused at once while the table can't be reached") {
--- a/packages/site/tests/upstreamlease_test.cpp
+++ b/packages/site/tests/upstreamlease_test.cpp
@@ -42,7 +42,7 @@
 
 TEST_CASE("property: no lease counts as expired while valid on the upstream, "
           "or is longer than allowed") {
-  rc::check([] {
+  CHECK(rc::check([] {
     // Upstream clocks run up to 2% slow, and may run fast.
     const double Rate = *rc::gen::inRange(980, 1050) / 1000.0;
     const std::int64_t Offset = *rc::gen::inRange(0, 1000000);
@@ -66,5 +66,5 @@
       RC_ASSERT(LeaseUntil <= Clock + Bounds.MaxLease.count() / 1000 ||
                 Step % 3 != 1);
     }
-  });
+  }));
 }
