Pause between the VM commands of two holders, and send none late

The successor sent commands to VMs as soon as the predecessor's lease had ended, 3.6 s after its last renewal was seen, while the predecessor might have sent its last one 0.3 s before. The VM control of that site does not compare tokens. A command that waited for a connection was sent up to 1.5 s after the check of the lease; the time limit of a call began anew after connecting and was not compared on kept connections.

Ruled out: two holders with one token; the claim itself.

The row says whether a holder has begun, so that a restarted process of the same daemon need not pause again. HttpClient checks a permission immediately before it writes a request, and its time limit covers connecting, the request and the answer on new and kept connections alike.

--- a/packages/http/include/sardinerill/http/httpclient.h
+++ b/packages/http/include/sardinerill/http/httpclient.h
@@ -3,6 +3,7 @@
 #include "sardinerill/http/httptypes.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 /// \file
@@ -29,8 +30,11 @@
   HttpClient &operator=(const HttpClient &) = delete;
 
   /// \param Timeout time from now within which the response must be complete.
-  Async<tl::expected<HttpResponse, HttpCallError>> call(HttpRequest Request,
-                                                        Duration Timeout);
+  /// \param MaySend checked immediately before the request is written, since
+  /// connecting takes time; if it returns false, the call fails with NotSent.
+  Async<tl::expected<HttpResponse, HttpCallError>>
+  call(HttpRequest Request, Duration Timeout,
+       std::function<bool()> MaySend = nullptr);
   const Endpoint &peer() const;
   /// Closes the idle connections.
   void closeIdleConnections();
--- a/packages/http/src/httpclient.cpp
+++ b/packages/http/src/httpclient.cpp
@@ -121,7 +121,8 @@
 }
 
 Async<tl::expected<HttpResponse, HttpCallError>>
-HttpClient::call(HttpRequest Request, Duration Timeout) {
+HttpClient::call(HttpRequest Request, Duration Timeout,
+                 std::function<bool()> MaySend) {
   auto SharedState = this->Shared; // Outlives the client during the call.
   Request.Headers.push_back({"Host", SharedState->Options.Peer.str()});
   http::request<http::string_body> Message = toBeast(Request);
@@ -133,12 +134,16 @@
     if (!Connected)
       co_return tl::unexpected(Connected.error());
     Stream = std::move(*Connected);
-    // Timers don't count the time for which the VM was suspended. If the
-    // deadline passed meanwhile, the request is out of date and isn't sent.
-    if (Clock.now() >= Deadline)
-      co_return tl::unexpected(HttpCallError::NotSent);
   }
-  Stream->expires_after(Timeout);
+  // Timers don't count the time for which the VM was suspended. If the deadline
+  // passed meanwhile, the request is out of date and isn't sent.
+  const bool Permitted = !MaySend || MaySend();
+  const Duration Remaining = Deadline - Clock.now();
+  if (!Permitted || Remaining <= Duration::zero()) {
+    SharedState->pushIdleConnection(std::move(Stream));
+    co_return tl::unexpected(HttpCallError::NotSent);
+  }
+  Stream->expires_after(Remaining);
   error_code EC;
   co_await http::async_write(*Stream, Message,
                              asio::redirect_error(asio::use_awaitable, EC));
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -1,3 +1,4 @@
+#include "sardinerill/base/clock.h"
 #include "sardinerill/http/httpclient.h"
 #include "sardinerill/http/httpserver.h"
 
@@ -34,12 +35,14 @@
                       {.Peer = {"127.0.0.1", Port}, .MaxIdleConnections = 1});
   }
 
-  CallResult call(HttpClient &Client, HttpRequest Request) {
+  CallResult call(HttpClient &Client, HttpRequest Request,
+                  std::function<bool()> MaySend = nullptr,
+                  Duration Timeout = seconds(5)) {
     std::optional<CallResult> Result;
     asio::co_spawn(
         this->Context,
         [&]() -> Async<void> {
-          Result = co_await Client.call(std::move(Request), seconds(5));
+          Result = co_await Client.call(std::move(Request), Timeout, MaySend);
         },
         asio::detached);
     while (!Result)
@@ -149,3 +152,55 @@
   Network.Context.poll();
   CHECK(RequestsReceived == 1);
 }
+
+TEST_CASE("a request is not sent once its permission has ended") {
+  // A command may wait for its connection. Meanwhile the lease of the sender
+  // may end, and another daemon may send commands.
+  Loopback Network;
+  int Requests = 0;
+  const auto Server =
+      Network.serve([&](HttpRequest Request) -> Async<HttpResponse> {
+        ++Requests;
+        return echo(std::move(Request));
+      });
+  HttpClient Client = Network.client(Server->port());
+  const auto Refuse = [] { return false; };
+  for (const bool OnKeptConnection : {false, true}) {
+    if (OnKeptConnection)
+      REQUIRE(Network.call(Client, post("first")).has_value());
+    const int Before = Requests;
+    const CallResult Refused = Network.call(Client, post("late"), Refuse);
+    REQUIRE_FALSE(Refused.has_value());
+    CHECK((Refused.error() == HttpCallError::NotSent));
+    CHECK(Requests == Before);
+  }
+  const CallResult Next = Network.call(Client, post("next"));
+  REQUIRE(Next.has_value());
+  CHECK(Next->Body == "next");
+}
+
+TEST_CASE("a request whose time limit has passed is not sent on a kept "
+          "connection either") {
+  // The process may be suspended between the start of a call and its request.
+  Loopback Network;
+  int Requests = 0;
+  const auto Server =
+      Network.serve([&](HttpRequest Request) -> Async<HttpResponse> {
+        ++Requests;
+        return echo(std::move(Request));
+      });
+  HttpClient Client = Network.client(Server->port());
+  REQUIRE(Network.call(Client, post("first")).has_value());
+  constexpr milliseconds Limit{5};
+  const auto Suspend = [&] {
+    const BootClock Clock;
+    const Instant End = Clock.now() + 2 * Limit;
+    while (Clock.now() < End) // The process does nothing else meanwhile.
+      continue;
+    return true;
+  };
+  const CallResult Late = Network.call(Client, post("late"), Suspend, Limit);
+  REQUIRE_FALSE(Late.has_value());
+  CHECK((Late.error() == HttpCallError::NotSent));
+  CHECK(Requests == 1);
+}
--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -4,6 +4,7 @@
 #include "sardinerill/base/errors.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 /// \file
@@ -34,6 +35,9 @@
   bool Leaving = false;
   /// The holder has released the lease and sends no more commands.
   bool Released = false;
+  /// The holder may send commands to VMs: the pause after the commands of
+  /// earlier holders is over.
+  bool CommandsVms = false;
   friend bool operator==(const OwnershipRow &, const OwnershipRow &) = default;
 };
 
@@ -55,6 +59,13 @@
   /// RefusedHolderTimeout. Covers the interval between two renewals plus a
   /// renewal that takes 0.6 s because the table is slow.
   Duration AcceptanceWindow = milliseconds(1100);
+  /// Time after its last renewal during which the holder sends commands to VMs.
+  /// Shorter than the lease, because the VM control does not compare tokens:
+  /// the next holder has to pause after the latest possible command of this
+  /// one.
+  Duration VmCommandWindow = milliseconds(1100);
+  /// Longest time from sending a command to a VM until the VM control has it.
+  Duration VmCommandDelivery = milliseconds(200);
   /// Interval between two renewals by the holder.
   Duration RenewalInterval = milliseconds(300);
   /// Interval at which other daemons poll the row.
@@ -105,6 +116,11 @@
   Instant predecessorLeaseEnd() const {
     return this->FirstSeenAt + this->Timings.LeaseDuration;
   }
+  /// \returns when a daemon that claims the row now may send its first command
+  /// to a VM.
+  /// \param OwnName name of that daemon.
+  /// \param Pause minimum time between commands of different holders to one VM.
+  Instant vmCommandsFrom(const std::string &OwnName, Duration Pause) const;
   /// \returns the table version after which the previous holder has accepted no
   /// jobs; 0 while it may still accept some.
   std::int64_t lastInheritedVersion() const {
@@ -125,6 +141,8 @@
   std::int64_t LastInheritedVersion = 0;
   /// When the current row version was first read.
   Instant FirstSeenAt{};
+  /// When the current holder was first read as leaving.
+  std::optional<Instant> LeavingSeenAt;
   /// Since when reads with no gap above MaxReadGap have shown the same version.
   Instant UnchangedSince{};
   Instant LastRequestedAt{};
@@ -134,9 +152,11 @@
 /// State of the lease on the daemon that holds it.
 class OwnershipLease {
 public:
+  /// \param VmCommandsFrom when the first command to a VM may be sent.
   OwnershipLease(OwnershipTimings Timings, std::int64_t Token,
-                 Instant ClaimSentAt)
-      : Timings(Timings), Token(Token), RenewedAt(ClaimSentAt) {}
+                 Instant ClaimSentAt, Instant VmCommandsFrom = {})
+      : Timings(Timings), Token(Token), RenewedAt(ClaimSentAt),
+        VmCommandsFrom(VmCommandsFrom) {}
 
   /// Extends the lease after a renewal was confirmed.
   /// \param SentAt when that renewal was sent.
@@ -153,6 +173,10 @@
   /// holder has claimed the row, so a job that was read by then was stored
   /// before the next holder's claim.
   bool mayAdmitJobs(Instant Now) const;
+  /// \returns whether a command may be sent to a VM now.
+  bool mayCommandVms(Instant Now) const;
+  /// \returns whether the pause after the commands of earlier holders is over.
+  bool vmPauseIsOver(Instant Now) const { return Now >= this->VmCommandsFrom; }
   bool isLost() const { return this->Lost; }
   std::int64_t token() const { return this->Token; }
 
@@ -160,6 +184,7 @@
   OwnershipTimings Timings;
   std::int64_t Token;
   Instant RenewedAt;
+  Instant VmCommandsFrom;
   bool Lost = false;
   bool Leaving = false;
 };
--- a/packages/ownership/src/ownership.cpp
+++ b/packages/ownership/src/ownership.cpp
@@ -8,9 +8,11 @@
 using nlohmann::json;
 
 std::string encodeOwnership(const OwnershipRow &Row) {
-  return json{{"holder", Row.Holder},       {"incarnation", Row.Incarnation},
-              {"address", Row.PeerAddress}, {"term", Row.Term},
-              {"leaving", Row.Leaving},     {"released", Row.Released}}
+  return json{
+      {"holder", Row.Holder},           {"incarnation", Row.Incarnation},
+      {"address", Row.PeerAddress},     {"term", Row.Term},
+      {"leaving", Row.Leaving},         {"released", Row.Released},
+      {"commands_vms", Row.CommandsVms}}
       .dump();
 }
 
@@ -22,7 +24,8 @@
                         .PeerAddress = Read.at("address"),
                         .Term = Read.at("term"),
                         .Leaving = Read.at("leaving"),
-                        .Released = Read.at("released")};
+                        .Released = Read.at("released"),
+                        .CommandsVms = Read.value("commands_vms", false)};
   } catch (const json::exception &Exception) {
     return makeError(ErrorKind::BadRequest, Exception.what());
   }
@@ -39,8 +42,12 @@
       RequestedAt - this->LastRequestedAt > this->Timings.MaxReadGap;
   if (Changed || GapTooLong)
     this->UnchangedSince = RepliedAt;
-  if (Changed && this->Row.Incarnation != ReadRow.Incarnation)
+  if (Changed && this->Row.Incarnation != ReadRow.Incarnation) {
     this->HolderEnded = this->ConnectionRefused = false;
+    this->LeavingSeenAt.reset();
+  }
+  if ((ReadRow.Leaving || ReadRow.Released) && !this->LeavingSeenAt)
+    this->LeavingSeenAt = RepliedAt;
   if (Changed) {
     this->FirstSeenAt = RepliedAt;
     this->LastInheritedVersion = 0;
@@ -90,6 +97,19 @@
   return Ended ? PredecessorState::None : PredecessorState::MayBeActive;
 }
 
+Instant OwnershipObserver::vmCommandsFrom(const std::string &OwnName,
+                                          Duration Pause) const {
+  if (this->Version == 0)
+    return {};
+  // The commands of an earlier process of the same daemon have ended with it.
+  if (this->Row.Holder == OwnName && this->Row.CommandsVms)
+    return {};
+  // A holder that leaves stops before it stores that it does.
+  const Instant LastCommand = this->LeavingSeenAt.value_or(
+      this->FirstSeenAt + this->Timings.VmCommandWindow);
+  return LastCommand + this->Timings.VmCommandDelivery + Pause;
+}
+
 void OwnershipLease::recordRenewal(Instant SentAt) {
   this->RenewedAt = std::max(this->RenewedAt, SentAt);
 }
@@ -104,4 +124,9 @@
                                   this->Timings.LeaseMargin;
 }
 
+bool OwnershipLease::mayCommandVms(Instant Now) const {
+  return !this->Lost && !this->Leaving && this->vmPauseIsOver(Now) &&
+         Now < this->RenewedAt + this->Timings.VmCommandWindow;
+}
+
 } // namespace sardinerill::site
--- a/packages/ownership/tests/ownership_test.cpp
+++ b/packages/ownership/tests/ownership_test.cpp
@@ -120,7 +120,7 @@
 
 TEST_CASE("property: the holder accepts no job stored after the observed end "
           "of acceptance") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const OwnershipTimings Timings;
     OwnershipObserver Observer(Timings);
     OwnershipLease Lease(Timings, 1, at(0));
@@ -151,7 +151,7 @@
         RC_ASSERT(LastAccepted <= Observer.lastInheritedVersion() ||
                   RowVersion != Observer.version());
     }
-  });
+  }));
 }
 
 TEST_CASE("a stale reply that arrives after a newer one is ignored") {
@@ -168,7 +168,7 @@
   // The holder claims at an arbitrary time and never renews; replies are
   // delayed arbitrarily. When the next holder considers the previous holder's
   // lease expired, the previous holder must have stopped sending commands.
-  rc::check([] {
+  CHECK(rc::check([] {
     const OwnershipTimings Timings;
     const auto SentAt = *rc::gen::inRange(0, 3000);
     const auto Delay = *rc::gen::inRange(1, 800);
@@ -187,5 +187,108 @@
         Refused ? Timings.RefusedHolderTimeout : Timings.HolderTimeout;
     RC_ASSERT_FALSE(Lease.mayAdmitJobs(at(Committed) + Timeout));
     RC_ASSERT_FALSE(Lease.maySendCommands(Observer.predecessorLeaseEnd()));
-  });
+  }));
+}
+
+namespace {
+
+constexpr Duration VmPause = seconds(3);
+
+/// One holder and the observer of the daemon that follows it, with a table that
+/// applies each renewal after a delay and may lose the reply.
+struct Succession {
+  OwnershipTimings Timings;
+  OwnershipLease Holder{Timings, 1, at(0)};
+  OwnershipObserver Next{Timings};
+  OwnershipRow Stored = Row;
+  std::int64_t Version = 1;
+
+  void applyRenewal(std::int64_t SentMs, bool ReplyArrives) {
+    ++this->Version;
+    if (ReplyArrives)
+      this->Holder.recordRenewal(at(SentMs));
+  }
+
+  void read(std::int64_t RequestedMs, std::int64_t RepliedMs) {
+    this->Next.observe(this->Version, this->Stored, at(RequestedMs),
+                       at(RepliedMs));
+  }
+};
+
+} // namespace
+
+TEST_CASE("a holder that hands over and loses the table sends no commands to "
+          "VMs within the pause before its successor's first") {
+  // The leaving mark is stored at 50 ms and the holder is then cut off from the
+  // table, so that it does not learn of its successor.
+  Succession Case;
+  Case.applyRenewal(0, true);
+  Case.Holder.beginHandover();
+  Case.Stored.Leaving = true;
+  ++Case.Version;
+  Case.read(60, 70);
+  REQUIRE(Case.Next.mayClaim());
+  const Instant First = Case.Next.vmCommandsFrom("b", VmPause);
+  for (Instant Time = First - VmPause; Time < First; Time += milliseconds(10))
+    REQUIRE_FALSE(Case.Holder.mayCommandVms(Time));
+}
+
+TEST_CASE("property: commands of two holders to one VM are at least the pause "
+          "apart") {
+  // Renewals are sent at arbitrary times, delayed, lost or unanswered; the
+  // holder may hand over; reads are delayed. The holder's clock goes on while
+  // its VM is suspended, so that a suspension is a time without events.
+  CHECK(rc::check([] {
+    Succession Case;
+    std::int64_t NowMs = 0;
+    Case.read(0, 1);
+    const auto Steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 900));
+    for (const int Step : Steps) {
+      if (Case.Next.mayClaim())
+        break;
+      const std::int64_t SentMs = NowMs;
+      NowMs += Step;
+      if (Step % 5 < 2)
+        Case.applyRenewal(SentMs, Step % 2 == 0);
+      if (Step % 11 == 7) {
+        Case.Holder.beginHandover();
+        Case.Stored.Leaving = true;
+        ++Case.Version;
+      }
+      if (Step % 5 >= 2)
+        Case.read(SentMs, NowMs);
+    }
+    while (!Case.Next.mayClaim()) {
+      NowMs += 500;
+      Case.read(NowMs, NowMs + 20);
+    }
+    const Instant First = Case.Next.vmCommandsFrom("b", VmPause);
+    for (Instant Time = First - VmPause; Time < First + VmPause;
+         Time += milliseconds(20))
+      RC_ASSERT_FALSE(Case.Holder.mayCommandVms(Time));
+  }));
+}
+
+TEST_CASE("a restarted holder need not pause before commands to VMs if its "
+          "previous process had paused") {
+  OwnershipObserver Observer{OwnershipTimings{}};
+  OwnershipRow Own = Row;
+  Observer.observe(7, Own, at(0), at(5));
+  CHECK(Observer.vmCommandsFrom("a", VmPause) > at(3000));
+  Own.CommandsVms = true;
+  Observer.observe(8, Own, at(10), at(15));
+  CHECK(Observer.vmCommandsFrom("a", VmPause) <= at(15));
+  CHECK(Observer.vmCommandsFrom("b", VmPause) > at(3000));
+}
+
+TEST_CASE("a new holder sends no commands to VMs before its pause is over") {
+  OwnershipLease Lease(OwnershipTimings{}, 1, at(0), at(900));
+  CHECK_FALSE(Lease.mayCommandVms(at(800)));
+  CHECK(Lease.mayCommandVms(at(900)));
+  CHECK_FALSE(Lease.mayCommandVms(at(1200))); // It has not renewed since.
+  Lease.recordRenewal(at(1000));
+  CHECK(Lease.mayCommandVms(at(1200)));
+  Lease.markSuperseded();
+  CHECK_FALSE(Lease.mayCommandVms(at(1200)));
 }
--- a/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
+++ b/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
@@ -275,6 +275,8 @@
 /// Notice and FarFactor are read from the node file but not used.
 struct SiteBounds {
   Duration MaxLease = seconds(6); ///< Longest lease sent to an upstream.
+  /// Minimum time between commands of two holders to one VM.
+  Duration VmHandoverPause = seconds(3);
   Duration StopTimeout = milliseconds(400);
   Duration EarlyStart = milliseconds(250);
   Duration Notice = milliseconds(4500);
--- a/packages/site/include/sardinerill/site/ivmcontrol.h
+++ b/packages/site/include/sardinerill/site/ivmcontrol.h
@@ -4,6 +4,8 @@
 #include "sardinerill/http/httptypes.h"
 #include "sardinerill/scheduling/schedulingtypes.h"
 
+#include <functional>
+
 /// \file
 /// Interface for listing VMs, moving them between pools and taking them down
 /// for maintenance.
@@ -19,10 +21,13 @@
   Unknown,     ///< No response; the command may have been executed.
 };
 
-/// Identifies the sender of a VM command: name of the daemon and fencing token.
+/// The sender of a VM command.
 struct VmCommandIssuer {
-  std::string Holder;
-  std::int64_t Token = 0;
+  std::string Holder;     ///< Name of the daemon.
+  std::int64_t Token = 0; ///< Fencing token.
+  /// Checked immediately before the command is sent; if it returns false, the
+  /// outcome is NotExecuted.
+  std::function<bool()> MaySend;
 };
 
 class ISiteVmControl {
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -84,7 +84,7 @@
 
 Holder::Holder(SiteDeps Deps, OwnershipTimings Timeouts, OwnershipClaim Claim)
     : Deps(Deps), Claim(Claim),
-      Ownership(Timeouts, Claim.Token, Claim.ClaimSentAt),
+      Ownership(Timeouts, Claim.Token, Claim.ClaimSentAt, Claim.VmCommandsFrom),
       JobScheduler(schedulerOptions(Deps, Claim)),
       SchedulingEvent(Deps.Executor), StoreEvent(Deps.Executor),
       Context(std::make_shared<LinkContext>(LinkContext{
@@ -105,8 +105,7 @@
                             .JobScheduler = this->JobScheduler,
                             .Ownership = this->Ownership,
                             .SchedulingEvent = this->SchedulingEvent,
-                            .Stats = Deps.Stats},
-          latestCommandTime(Claim))) {}
+                            .Stats = Deps.Stats})) {}
 
 void Holder::run() {
   const auto Self = this->shared_from_this();
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -40,6 +40,7 @@
   Instant ClaimSentAt{};
   /// End of the previous holder's lease, after which it sends no commands.
   Instant PredecessorLeaseEnd{};
+  Instant VmCommandsFrom{}; ///< When commands to VMs may be sent first.
   /// Jobs stored with a newer version can't have been started by a previous
   /// holder; 0 if unknown.
   std::int64_t LastInheritedVersion = 0;
--- a/packages/site/src/ownershipmanager.cpp
+++ b/packages/site/src/ownershipmanager.cpp
@@ -40,7 +40,9 @@
           .Incarnation = this->Incarnation,
           .PeerAddress = this->Deps.Settings.PeerEndpoint.str(),
           .Term = OfTerm,
-          .Leaving = this->IsLeaving};
+          .Leaving = this->IsLeaving,
+          .CommandsVms = this->Lease &&
+                         this->Lease->vmPauseIsOver(this->Deps.Clock.now())};
 }
 
 Async<void> OwnershipManager::run() {
@@ -209,6 +211,9 @@
        .Predecessor = Predecessor,
        .ClaimSentAt = SentAt,
        .PredecessorLeaseEnd = this->Observer.predecessorLeaseEnd(),
+       .VmCommandsFrom = this->Observer.vmCommandsFrom(
+           this->Deps.Settings.Name,
+           this->Deps.Settings.Bounds.VmHandoverPause),
        .LastInheritedVersion = this->Observer.lastInheritedVersion()});
 }
 
--- a/packages/site/src/vmcoordinator.cpp
+++ b/packages/site/src/vmcoordinator.cpp
@@ -67,6 +67,19 @@
   }
 }
 
+bool VmCoordinator::mayCommandVms() const {
+  return !this->Stopped &&
+         this->Deps.Ownership.mayCommandVms(this->Deps.Clock.now());
+}
+
+VmCommandIssuer VmCoordinator::issuer() {
+  return {.Holder = this->Deps.Settings.Name,
+          .Token = this->Deps.Ownership.token(),
+          .MaySend = [Self = this->shared_from_this()] {
+            return Self->mayCommandVms();
+          }};
+}
+
 Async<bool> VmCoordinator::listVms() {
   auto Listed = co_await this->Deps.Vms.list(ListTimeout);
   if (this->Stopped)
@@ -92,7 +105,7 @@
   this->retireReplacedUpstreams(RequestedAt);
   this->updateMoves();
   this->updateMaintenanceDue();
-  if (this->Deps.Clock.now() < this->NoCommandsUntil)
+  if (!this->mayCommandVms())
     co_return;
   for (auto &[Number, Wave] : this->Waves) {
     if (Wave.Completed)
--- a/packages/site/src/vmcoordinator.h
+++ b/packages/site/src/vmcoordinator.h
@@ -34,10 +34,7 @@
 
 class VmCoordinator : public std::enable_shared_from_this<VmCoordinator> {
 public:
-  /// \param NoCommandsUntil a previous holder may still send commands until
-  /// then, so this one sends none.
-  VmCoordinator(VmCoordinatorDeps Deps, Instant NoCommandsUntil)
-      : Deps(Deps), NoCommandsUntil(NoCommandsUntil) {}
+  explicit VmCoordinator(VmCoordinatorDeps Deps) : Deps(Deps) {}
 
   Async<void> run();
   /// Lists the VMs once at the start, since run() does so only while a wave is
@@ -108,8 +105,12 @@
   bool hasStandby() const;
   RowKey doneVmsKey(const WaveProgress &Wave) const;
 
+  bool mayCommandVms() const;
+  /// \returns the sender of a command, which is not sent once the ownership no
+  /// longer permits it.
+  VmCommandIssuer issuer();
+
   VmCoordinatorDeps Deps;
-  Instant NoCommandsUntil;
   SiteConfiguration Configuration;
   std::map<std::int64_t, WaveProgress> Waves;
   std::vector<VmRecord> Vms;
--- a/packages/site/src/vmmoves.cpp
+++ b/packages/site/src/vmmoves.cpp
@@ -177,14 +177,11 @@
 
 Async<void> VmCoordinator::moveVm(VmId Id) {
   const auto Found = this->Moves.find(Id);
-  if (this->Stopped || Found == this->Moves.end() ||
-      !this->Deps.Ownership.maySendCommands(this->Deps.Clock.now()))
+  if (Found == this->Moves.end() || !this->mayCommandVms())
     co_return;
   const PoolId To = Found->second.To;
-  VmCommandIssuer Issuer{this->Deps.Settings.Name,
-                         this->Deps.Ownership.token()};
   const VmCommandOutcome Outcome =
-      co_await this->Deps.Vms.move(Id, To, std::move(Issuer), CommandTimeout);
+      co_await this->Deps.Vms.move(Id, To, this->issuer(), CommandTimeout);
   if (this->Stopped)
     co_return;
   logEvent(LogLevel::Info, "vm.move",
--- a/packages/site/src/vmwaves.cpp
+++ b/packages/site/src/vmwaves.cpp
@@ -186,7 +186,7 @@
 
 Async<void> VmCoordinator::takeDown(WaveProgress &Wave, VmId Id) {
   const VmRecord *Vm = this->findVm(Id);
-  if (!Vm || !this->Deps.Ownership.maySendCommands(this->Deps.Clock.now()))
+  if (!Vm || !this->mayCommandVms())
     co_return;
   const UpstreamId Upstream = Vm->Upstream;
   VmProgress &Progress = Wave.Vms[Id];
@@ -203,10 +203,8 @@
     Progress.Upstream = Upstream;
     this->Deps.JobScheduler.setTakedownPending(Upstream, true);
   }
-  VmCommandIssuer Issuer{this->Deps.Settings.Name,
-                         this->Deps.Ownership.token()};
   const VmCommandOutcome Outcome = co_await this->Deps.Vms.startMaintenance(
-      Id, Wave.Wave.Number, std::move(Issuer), CommandTimeout);
+      Id, Wave.Wave.Number, this->issuer(), CommandTimeout);
   if (this->Stopped)
     co_return;
   logEvent(LogLevel::Info, "wave.take_down",
