--- a/packages/site/src/callerhandler.cpp
+++ b/packages/site/src/callerhandler.cpp
@@ -69,7 +69,9 @@
 Async<Result<CallerReply>> CallerHandler::handle(CallerCall Call) {
   Result<AdmittedCall> Admitted = this->admit(Call);
   Result<CallerReply> Reply =
-      makeError(ErrorKind::BadRequest, "unsupported call");
+      makeError(ErrorKind::BadRequest,
+                "unsupported call: expected POST, GET or DELETE with a job id "
+                "of 16 hexadecimal digits, or GET of the queue");
   if (!Admitted)
     Reply = tl::unexpected(Admitted.error());
   else if (Call.Kind == CallKind::Submit)
