Replace a silent holder sooner after an outage, an answering one later

Ruled out: a longer lease, as work on silent upstreams then waits longer; a quorum of daemons that are all cut off from the table, as the roster keeps daemons that are gone.

Change: the outcome of the probe decides how long a row must be unchanged: 1.5 s if the holder is silent or refuses, 3 s if it answers, 2 s if nothing is known. After an outage a silent holder is replaced if the row is unchanged for 1.2 s from the table's return. Polls are 0.2 s apart once a renewal is overdue; the holder is probed only then, not twice a second by each daemon. A failed renewal is sent again after 0.1 s. Restarted processes of the holder's daemon claim first. While the table is away for this daemon too, the age of the jobs no longer stops starts before the lease does. A late event loop is logged (daemon.overloaded).

--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -70,16 +70,33 @@
   Duration RenewalInterval = milliseconds(300);
   /// Interval at which other daemons poll the row.
   Duration PollInterval = milliseconds(500);
+  /// Interval of these polls while a renewal is overdue.
+  Duration OverduePollInterval = milliseconds(200);
+  /// A renewal is overdue if the row has not changed for this long.
+  Duration RenewalOverdue = milliseconds(800);
+  /// Pause before a failed renewal is sent again.
+  Duration RenewalRetryPause = milliseconds(100);
   /// The row may be claimed if successful reads show no renewal for this long.
   Duration HolderTimeout = milliseconds(2000);
-  /// Replaces HolderTimeout if the holder's address refuses connections, which
-  /// makes it likely that the holder has stopped.
-  Duration RefusedHolderTimeout = milliseconds(1700);
+  /// Replaces HolderTimeout if the holder does not answer or its address
+  /// refuses connections: it has probably stopped or is cut off.
+  Duration SilentHolderTimeout = milliseconds(1500);
+  /// Replaces HolderTimeout if the holder answers: it runs, and renews as soon
+  /// as it reaches the table.
+  Duration AnsweringHolderTimeout = milliseconds(3000);
   /// A longer gap between two successful reads restarts the measurement for
-  /// HolderTimeout and RefusedHolderTimeout.
+  /// these timeouts.
   Duration MaxReadGap = milliseconds(1200);
+  /// After such a gap, a row that has not changed for SilentHolderTimeout, gap
+  /// included, may be claimed if it does not change for this long either and
+  /// the holder does not answer. Covers the timeout of a renewal that was under
+  /// way when the table returned, and one more renewal.
+  Duration ReturnGrace = milliseconds(1200);
 };
 
+/// What the latest attempt to reach the holder at its address showed.
+enum class HolderContact { Unknown, Answers, Refuses, Silent };
+
 /// Whether the previous holder may still send commands.
 enum class PredecessorState {
   /// There was none, its process has ended, or it has released the lease.
@@ -104,9 +121,14 @@
   /// Records that process \p Incarnation has ended, because another process
   /// answers at the holder's address.
   void markHolderGone(const std::string &Incarnation);
-  /// Records whether the holder's address refuses connections. The holder may
-  /// still be alive behind a network partition.
-  void setConnectionRefused(bool Refused) { this->ConnectionRefused = Refused; }
+  /// Records the outcome of an attempt to reach the holder. Whatever it is, the
+  /// holder may still be alive behind a network partition.
+  void recordContact(HolderContact Outcome) { this->Contact = Outcome; }
+  /// \returns whether a renewal is overdue.
+  bool renewalIsOverdue(Instant Now) const;
+  /// \returns whether the holder's process has ended and its daemon runs
+  /// another one.
+  bool holderWasRestarted() const { return this->HolderEnded; }
 
   /// \returns whether the row may be claimed now.
   bool mayClaim() const;
@@ -137,7 +159,7 @@
   std::int64_t Version = 0;
   bool HasRead = false;
   bool HolderEnded = false;
-  bool ConnectionRefused = false;
+  HolderContact Contact = HolderContact::Unknown;
   std::int64_t LastInheritedVersion = 0;
   /// When the current row version was first read.
   Instant FirstSeenAt{};
--- a/packages/ownership/src/ownership.cpp
+++ b/packages/ownership/src/ownership.cpp
@@ -43,12 +43,13 @@
   if (Changed || GapTooLong)
     this->UnchangedSince = RepliedAt;
   if (Changed && this->Row.Incarnation != ReadRow.Incarnation) {
-    this->HolderEnded = this->ConnectionRefused = false;
+    this->HolderEnded = false;
     this->LeavingSeenAt.reset();
   }
   if ((ReadRow.Leaving || ReadRow.Released) && !this->LeavingSeenAt)
     this->LeavingSeenAt = RepliedAt;
   if (Changed) {
+    this->Contact = HolderContact::Unknown;
     this->FirstSeenAt = RepliedAt;
     this->LastInheritedVersion = 0;
   }
@@ -83,12 +84,24 @@
   if (this->Version == 0 || this->HolderEnded || this->Row.Released ||
       this->Row.Leaving)
     return true;
+  const bool IsUnreachable = this->Contact == HolderContact::Refuses ||
+                             this->Contact == HolderContact::Silent;
+  const Duration Timeout = IsUnreachable ? this->Timings.SilentHolderTimeout
+                           : this->Contact == HolderContact::Answers
+                               ? this->Timings.AnsweringHolderTimeout
+                               : this->Timings.HolderTimeout;
   // Measured up to when the read was sent, because its answer may have been
   // delayed in transit.
-  const Duration Timeout = this->ConnectionRefused
-                               ? this->Timings.RefusedHolderTimeout
-                               : this->Timings.HolderTimeout;
-  return this->LastRequestedAt - this->UnchangedSince >= Timeout;
+  const Duration Observed = this->LastRequestedAt - this->UnchangedSince;
+  if (Observed >= Timeout)
+    return true;
+  return IsUnreachable && Observed >= this->Timings.ReturnGrace &&
+         this->LastRequestedAt - this->FirstSeenAt >= Timeout;
+}
+
+bool OwnershipObserver::renewalIsOverdue(Instant Now) const {
+  return this->hasRow() &&
+         Now - this->FirstSeenAt >= this->Timings.RenewalOverdue;
 }
 
 PredecessorState OwnershipObserver::predecessorState() const {
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -32,9 +32,9 @@
 constexpr int IdlePerDecision = 2;
 constexpr milliseconds MaxIdle{150};
 constexpr milliseconds AdviceTimeout{2500};
-/// Nothing is started if the jobs were last read longer ago than this: a
-/// cancellation must take effect within 3 s of its acknowledgement on the
-/// strictest sites.
+/// Nothing is started if the table answers and the jobs were last read longer
+/// ago than this: a cancellation must take effect within 3 s of its
+/// acknowledgement on the strictest sites.
 constexpr milliseconds MaxJobsAge{2500};
 /// A registry entry that is missing from all successful reads for this long is
 /// treated as removed.
@@ -386,7 +386,10 @@
     if (Notified)
       co_await sleepFor(DecisionDelay);
     const Instant Now = this->Deps.Clock.now();
-    const bool Stale = Now - this->JobsReadAt > MaxJobsAge;
+    // While the table is away, no daemon can acknowledge a cancellation, and
+    // the ownership lease limits how long this one goes on.
+    const bool Stale =
+        Now - this->JobsReadAt > MaxJobsAge && this->Deps.Store.reachable();
     if (Stale != std::exchange(this->JobsAreStale, Stale))
       logEvent(LogLevel::Warning,
                Stale ? "holder.view_stale" : "holder.view_fresh",
--- a/packages/site/src/ownershipmanager.cpp
+++ b/packages/site/src/ownershipmanager.cpp
@@ -24,6 +24,9 @@
 /// have not found each other yet; it delays no jobs, as daemons start seconds
 /// before their callers.
 constexpr milliseconds NewSiteClaimDelay{3000};
+/// How long the others wait for the restarted process of the holder to claim.
+/// It needs no pause before it sends commands to VMs.
+constexpr milliseconds RestartedHolderDelay{500};
 
 } // namespace
 
@@ -59,11 +62,19 @@
       co_await this->checkRow();
     else
       co_return;
-    co_await this->Wake.wait(this->Lease ? this->Timeouts.RenewalInterval
-                                         : this->Timeouts.PollInterval);
+    co_await this->Wake.wait(this->pauseBeforeNextCall());
   }
 }
 
+Duration OwnershipManager::pauseBeforeNextCall() const {
+  if (this->Lease)
+    return this->RenewalFailed ? this->Timeouts.RenewalRetryPause
+                               : this->Timeouts.RenewalInterval;
+  return this->Observer.renewalIsOverdue(this->Deps.Clock.now())
+             ? this->Timeouts.OverduePollInterval
+             : this->Timeouts.PollInterval;
+}
+
 Async<void> OwnershipManager::renew() {
   const Instant SentAt = this->Deps.Clock.now();
   const bool SendsLeavingMark = this->IsLeaving;
@@ -77,6 +88,7 @@
       co_await this->Deps.Store.transact(std::move(Change), RenewalTimeout);
   if (!this->Lease)
     co_return;
+  this->RenewalFailed = !Outcome;
   if (!Outcome) { // The lease is still valid; the next round retries.
     logEvent(LogLevel::Warning, "ownership.renewal_failed",
              {{"token", std::to_string(this->Lease->token())},
@@ -116,12 +128,15 @@
         HttpClientOptions{.Peer = HolderEndpoint, .MaxIdleConnections = 1});
   const auto Answer =
       co_await this->ProbeClient->call(aliveRequest(), ProbeTimeout);
-  const bool Refused =
-      !Answer && Answer.error() == HttpCallError::ConnectionRefused;
-  const bool OtherIncarnation =
-      Answer && Answer->Status == 200 && Answer->Body != ExpectedIncarnation;
-  this->Observer.setConnectionRefused(Refused);
-  if (OtherIncarnation)
+  if (!Answer) {
+    this->Observer.recordContact(Answer.error() ==
+                                         HttpCallError::ConnectionRefused
+                                     ? HolderContact::Refuses
+                                     : HolderContact::Silent);
+    co_return;
+  }
+  this->Observer.recordContact(HolderContact::Answers);
+  if (Answer->Status == 200 && Answer->Body != ExpectedIncarnation)
     this->Observer.markHolderGone(ExpectedIncarnation);
 }
 
@@ -156,7 +171,8 @@
     if (Decoded->Holder == this->Deps.Settings.Name)
       // Held by the previous process of this daemon.
       this->Observer.markHolderGone(Decoded->Incarnation);
-    else if (!this->Observer.mayClaim())
+    else if (!this->Observer.mayClaim() &&
+             this->Observer.renewalIsOverdue(this->Deps.Clock.now()))
       co_await this->probeHolder();
   }
   if (!this->Observer.mayClaim() || this->IsLeaving) {
@@ -166,13 +182,19 @@
   const Instant Now = this->Deps.Clock.now();
   if (this->ClaimableSince == Instant{})
     this->ClaimableSince = Now;
-  // Daemons with much more capacity get time to claim first.
-  const Duration Delay =
-      this->Observer.version() == 0 ? NewSiteClaimDelay : ClaimDelay;
-  if (!this->MayHaveLargerPeer() || Now - this->ClaimableSince >= Delay)
+  if (Now - this->ClaimableSince >= this->claimDelay())
     co_await this->claim();
 }
 
+Duration OwnershipManager::claimDelay() const {
+  const bool IsOwnRow = this->Observer.row().Holder == this->Deps.Settings.Name;
+  // Daemons with much more capacity get time to claim first.
+  if (this->MayHaveLargerPeer() && !IsOwnRow)
+    return this->Observer.version() == 0 ? NewSiteClaimDelay : ClaimDelay;
+  return this->Observer.holderWasRestarted() && !IsOwnRow ? RestartedHolderDelay
+                                                          : milliseconds(0);
+}
+
 Async<void> OwnershipManager::claim() {
   const int JitterMs =
       int(std::hash<std::string>()(this->Incarnation) % MaxClaimJitterMs);
--- a/packages/site/src/ownershipmanager.h
+++ b/packages/site/src/ownershipmanager.h
@@ -49,6 +49,10 @@
   Async<void> renew();
   Async<void> checkRow();
   Async<void> probeHolder();
+  /// \returns how long this daemon leaves a claim to others that are better
+  /// placed.
+  Duration claimDelay() const;
+  Duration pauseBeforeNextCall() const;
   Async<void> claim();
   void onClaimed(std::int64_t Token, const OwnershipRow &NewRow,
                  PredecessorState Predecessor, Instant SentAt);
@@ -68,6 +72,7 @@
   /// claims are made.
   bool IsLeaving = false;
   bool LeavingStored = false;
+  bool RenewalFailed = false; ///< The latest renewal had no answer.
   std::unique_ptr<HttpClient> ProbeClient;
   std::function<bool()> MayHaveLargerPeer = [] { return false; };
   Instant ClaimableSince{};
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -33,6 +33,10 @@
 constexpr milliseconds PeerNoticeTimeout{200};
 constexpr milliseconds ShutdownPollInterval{50};
 constexpr std::size_t IncarnationBytes = 8;
+constexpr milliseconds LagProbeInterval{200};
+/// A delay of the event loop above this is logged.
+constexpr milliseconds MaxLoopLag{250};
+constexpr seconds LagLogInterval{1};
 constexpr seconds SettingsInterval{5};
 /// All daemons of a new site start within 0.3 s of each other, so the second
 /// read of their list is complete.
@@ -58,6 +62,8 @@
   void waitForSignal();
   void reload();
   Async<void> watchSettings();
+  /// Measures how late the event loop runs what is due.
+  Async<void> watchLoopLag();
   PeerApiDeps peerApiDeps();
   CallerHandlerDeps callerHandlerDeps();
   SiteDeps siteDeps();
@@ -286,6 +292,24 @@
   }
 }
 
+Async<void> SiteDaemon::State::watchLoopLag() {
+  Instant NextLog{};
+  while (true) {
+    const Instant DueAt = this->Clock.now() + LagProbeInterval;
+    co_await sleepFor(LagProbeInterval);
+    const Instant Now = this->Clock.now();
+    const Duration Lag = Now - DueAt;
+    this->Stats->observe("loop_lag", "all", Lag);
+    if (Lag < MaxLoopLag || Now < NextLog)
+      continue;
+    NextLog = Now + LagLogInterval;
+    const auto LagMs = std::chrono::duration_cast<milliseconds>(Lag);
+    logEvent(LogLevel::Warning, "daemon.overloaded",
+             {{"lag_ms", std::to_string(LagMs.count())},
+              {"holds", this->LocalHolder ? "yes" : "no"}});
+  }
+}
+
 void SiteDaemon::State::waitForSignal() {
   this->Signals.async_wait(
       [this](const boost::system::error_code &Error, int SignalNumber) {
@@ -374,6 +398,7 @@
   this->waitForSignal();
   spawn(Executor, "operator", [this] { return this->watchConfiguration(); });
   spawn(Executor, "settings", [this] { return this->watchSettings(); });
+  spawn(Executor, "loop-lag", [this] { return this->watchLoopLag(); });
   spawn(Executor, "peers", [this] { return this->Directory.run(); });
   spawn(Executor, "ownership", [this] { return this->Ownership.run(); });
 }
