End every phase of a planned stop within the grace period

Change: a schedule of the stop, computed from the grace period alone, ends the handover, the storing of progress and the release; each call to the table gets what is left. What was given up is logged (daemon.stop_incomplete). Progress is tried again until its time ends, not once.

--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -53,10 +53,10 @@
   void run();
   /// Sends no further commands. Active runs continue.
   void stop();
-  /// Stores pending progress, after waiting at most \p MaxWait for a
-  /// transaction in flight. The final transactions are not limited by \p
-  /// MaxWait.
-  Async<void> flush(Duration MaxWait);
+  /// Stores pending progress, after any transaction in flight.
+  /// \param Deadline no call to the table lasts longer.
+  /// \returns whether all progress is stored or another holder stores it.
+  Async<bool> flush(Instant Deadline);
 
   /// Applies a change that a daemon has just stored, without waiting for the
   /// table's list of changes. Ignored until all jobs are loaded.
@@ -78,7 +78,8 @@
   Async<void> watchRegistry();
   Async<void> scheduleLoop();
   Async<void> storeProgressLoop();
-  Async<void> storeProgress();
+  /// \returns whether all pending progress was stored.
+  Async<bool> storeProgress();
   Async<bool> storeProgressBatch(std::span<const ProgressChange> Changes);
   Async<void> askAdvice(AdviceRequest Request);
   Async<void> applyStoredChanges(std::vector<JobChange> Changes);
@@ -99,6 +100,8 @@
   std::shared_ptr<VmCoordinator> Coordinator;
   bool Loaded = false;
   bool Storing = false;
+  /// Calls that store progress end by then; moved forward by a planned stop.
+  Instant StoreDeadline = Instant::max();
   std::int64_t JobsVersion = 0;
   Instant JobsReadAt{}; ///< When the last successful read of jobs was sent.
   bool JobsAreStale = false;
--- a/packages/site/src/holderprogress.cpp
+++ b/packages/site/src/holderprogress.cpp
@@ -53,13 +53,16 @@
   const std::string BatchId = std::to_string(this->Claim.Token) + ":" +
                               std::to_string(++this->BatchNumber);
   while (true) {
+    const Duration Remaining = this->StoreDeadline - this->Deps.Clock.now();
+    if (Remaining <= Duration::zero())
+      co_return false;
     Transaction Batch;
     Batch.Preconditions.push_back({progressHeadKey(), this->HeadVersion});
     Batch.Writes.push_back({progressHeadKey(), BatchId});
     for (const ProgressChange &Change : Changes)
       Batch.Writes.push_back({JobTable::progressKey(Change.Job), Change.Text});
-    const auto Outcome =
-        co_await this->Deps.Store.transact(std::move(Batch), StoreTimeout);
+    const auto Outcome = co_await this->Deps.Store.transact(
+        std::move(Batch), std::min<Duration>(StoreTimeout, Remaining));
     if (Outcome && Outcome->Applied) {
       this->HeadVersion = Outcome->Version;
       co_return true;
@@ -75,25 +78,28 @@
       this->Ownership.markSuperseded();
       co_return false;
     }
-    if (this->Context->Stopped)
+    const bool StopsWithoutDeadline =
+        this->Context->Stopped && this->StoreDeadline == Instant::max();
+    if (StopsWithoutDeadline)
       co_return false;
     this->Deps.Stats.countRetry(RetryReason::PlatformTimeout);
     co_await sleepFor(RetryPause);
   }
 }
 
-Async<void> Holder::storeProgress() {
+Async<bool> Holder::storeProgress() {
   const std::vector<ProgressChange> Changes = this->JobScheduler.takeProgress();
   for (std::size_t Done = 0; Done < Changes.size();) {
     const std::size_t Count =
         std::min(MaxRowsPerTransaction, Changes.size() - Done);
     const std::span Batch(Changes.data() + Done, Count);
     if (!co_await this->storeProgressBatch(Batch))
-      co_return;
+      co_return false;
     for (const ProgressChange &Stored : Batch)
       this->JobScheduler.progressStored(Stored.Job, Stored.Revision);
     Done += Count;
   }
+  co_return true;
 }
 
 Async<void> Holder::storeProgressLoop() {
@@ -114,13 +120,16 @@
   }
 }
 
-Async<void> Holder::flush(Duration MaxWait) {
-  const Instant Deadline = this->Deps.Clock.now() + MaxWait;
+Async<bool> Holder::flush(Instant Deadline) {
+  this->StoreDeadline = Deadline;
   constexpr milliseconds PollInterval{20};
   while (this->Storing && this->Deps.Clock.now() < Deadline)
     co_await sleepFor(PollInterval);
-  if (!this->Ownership.isLost())
-    co_await this->storeProgress();
+  if (this->Ownership.isLost())
+    co_return true;
+  if (this->Storing)
+    co_return false;
+  co_return co_await this->storeProgress();
 }
 
 } // namespace sardinerill::site
--- a/packages/site/src/ownershipmanager.cpp
+++ b/packages/site/src/ownershipmanager.cpp
@@ -239,19 +239,24 @@
        .LastInheritedVersion = this->Observer.lastInheritedVersion()});
 }
 
-Async<void> OwnershipManager::release() {
+Async<bool> OwnershipManager::release(Instant Deadline) {
   this->IsLeaving = true;
   if (!this->Lease || this->Lease->isLost())
-    co_return;
+    co_return true;
+  const Duration Remaining = Deadline - this->Deps.Clock.now();
+  if (Remaining <= Duration::zero())
+    co_return false;
   OwnershipRow ReleasedRow = this->ownRow(this->Term);
   ReleasedRow.Released = true;
   Transaction Change;
   Change.Preconditions.push_back({ownershipKey(), this->RowVersion});
   Change.Writes.push_back({ownershipKey(), encodeOwnership(ReleasedRow)});
-  const auto Outcome =
-      co_await this->Deps.Store.transact(std::move(Change), CallTimeout);
+  const auto Outcome = co_await this->Deps.Store.transact(
+      std::move(Change), std::min<Duration>(CallTimeout, Remaining));
+  const bool Stored = Outcome && Outcome->Applied;
   logEvent(LogLevel::Info, "ownership.released",
-           {{"stored", Outcome && Outcome->Applied ? "yes" : "no"}});
+           {{"stored", Stored ? "yes" : "no"}});
+  co_return Stored;
 }
 
 } // namespace sardinerill::site
--- a/packages/site/src/ownershipmanager.h
+++ b/packages/site/src/ownershipmanager.h
@@ -38,7 +38,9 @@
   /// \returns whether the leaving mark is stored.
   bool isLeavingStored() const { return this->LeavingStored; }
   /// Marks the row as released if this daemon is still the holder.
-  Async<void> release();
+  /// \param Deadline the call to the table does not last longer.
+  /// \returns whether this daemon has left the row to others.
+  Async<bool> release(Instant Deadline);
 
   /// \returns the row as of the last read.
   const OwnershipRow &row() const { return this->Observer.row(); }
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -4,6 +4,7 @@
 #include "holder.h"
 #include "ownershipmanager.h"
 #include "peerapi.h"
+#include "stopschedule.h"
 
 #include "sardinerill/base/logging.h"
 #include "sardinerill/base/text.h"
@@ -21,15 +22,7 @@
 constexpr milliseconds ConfigurationPollWait{1000};
 constexpr milliseconds ConfigurationReadTimeout{800};
 constexpr milliseconds RetryPause{150};
-/// New calls may still arrive for this long after the stop signal, since the
-/// load balancer takes up to two seconds to notice that a daemon is not ready.
-constexpr milliseconds AcceptTimeAfterStop{3500};
-/// Part of the grace period reserved for the exit of the process.
-constexpr milliseconds ExitReserve{700};
-/// How long a leaving holder waits for another daemon to claim ownership.
-constexpr milliseconds HandoverTimeout{2500};
 constexpr milliseconds HandoverPollInterval{10};
-constexpr milliseconds FlushTimeout{300};
 constexpr milliseconds PeerNoticeTimeout{200};
 constexpr milliseconds ShutdownPollInterval{50};
 constexpr std::size_t IncarnationBytes = 8;
@@ -57,7 +50,7 @@
   Async<HttpResponse> handleCallerRequest(HttpRequest Request);
   Async<HttpResponse> handleReadinessRequest();
   Async<void> shutDown();
-  Async<void> handOver(Instant StartedAt);
+  Async<void> handOver(const StopSchedule &Schedule);
   void notifyPeersOfHandover();
   void waitForSignal();
   void reload();
@@ -334,11 +327,11 @@
           });
 }
 
-Async<void> SiteDaemon::State::handOver(Instant StartedAt) {
+Async<void> SiteDaemon::State::handOver(const StopSchedule &Schedule) {
   this->Ownership.startLeaving();
   bool PeersNotified = false;
   // This daemon stays the holder until another one has claimed ownership.
-  while (this->LocalHolder && this->Clock.now() < StartedAt + HandoverTimeout) {
+  while (this->LocalHolder && this->Clock.now() < Schedule.HandoverUntil) {
     if (this->Ownership.isLeavingStored() &&
         !std::exchange(PeersNotified, true))
       this->notifyPeersOfHandover();
@@ -348,28 +341,32 @@
     co_return;
   const auto LeavingHolder = this->LocalHolder;
   LeavingHolder->stop();
-  co_await LeavingHolder->flush(FlushTimeout);
-  co_await this->Ownership.release();
+  const bool Stored = co_await LeavingHolder->flush(Schedule.StoreUntil);
+  const bool Released = co_await this->Ownership.release(Schedule.ExitAt);
+  if (!Stored || !Released)
+    logEvent(LogLevel::Warning, "daemon.stop_incomplete",
+             {{"progress_stored", Stored ? "yes" : "no"},
+              {"ownership_released", Released ? "yes" : "no"},
+              {"table_reachable",
+               this->Adapters.Store->reachable() ? "yes" : "no"}});
   this->Ownership.setOwnershipLease(nullptr);
   this->LocalHolder = nullptr;
   this->notifyPeersOfHandover();
 }
 
 Async<void> SiteDaemon::State::shutDown() {
-  const Instant StartedAt = this->Clock.now();
+  const StopSchedule Schedule =
+      StopSchedule::of(this->Clock.now(), this->Settings.StopGracePeriod);
   logEvent(LogLevel::Info, "daemon.stopping",
            {{"daemon", this->Settings.Name},
             {"holds", this->LocalHolder ? "yes" : "no"}});
   this->CallerServer->startDrain();
-  co_await this->handOver(StartedAt);
-  const Instant ExitDeadline =
-      StartedAt + this->Settings.StopGracePeriod - ExitReserve;
-  while (this->Clock.now() <
-         std::min(StartedAt + AcceptTimeAfterStop, ExitDeadline))
+  co_await this->handOver(Schedule);
+  while (this->Clock.now() < Schedule.AcceptUntil)
     co_await sleepFor(ShutdownPollInterval);
   this->CallerServer->stopAccepting();
   while (this->CallerServer->requestsInFlight() > 0 &&
-         this->Clock.now() < ExitDeadline)
+         this->Clock.now() < Schedule.ExitAt)
     co_await sleepFor(ShutdownPollInterval);
   logEvent(
       LogLevel::Info, "daemon.stopped",
