Answer submissions at their deadline, and all requests before a stop ends

Cause: a submission waited for the transaction that carried it, up to 0.9 s beyond its own deadline, and those behind it as well; look-ups and cancellations could overrun in the same way.

Change: a submission is answered at its deadline: outcome unknown if a transaction with it is under way or may have been applied, else refused and never sent. Calls to the table last at most until the caller's deadline; while the daemon stops, deadlines end before it exits.

Tests: a silent table, alone and in front of a second submission; on the version before, the first test does not end.

--- a/packages/site/src/callerhandler.cpp
+++ b/packages/site/src/callerhandler.cpp
@@ -61,8 +61,10 @@
     Admitted.Organisation = Organisation->Id;
   }
   const Duration Timeout = Call.Timeout.value_or(Queue->CallTimeout);
-  Admitted.Deadline = this->Deps.Clock.now() +
-                      std::min(Timeout, Queue->CallTimeout) - ReplyReserve;
+  const Instant TimeLimit =
+      this->Deps.Clock.now() + std::min(Timeout, Queue->CallTimeout);
+  Admitted.Deadline =
+      std::min(TimeLimit, this->Deps.LatestReply()) - ReplyReserve;
   return Admitted;
 }
 
--- a/packages/site/src/callerhandler.h
+++ b/packages/site/src/callerhandler.h
@@ -21,6 +21,8 @@
   JobDecoder DecodeJob;
   /// \returns the current configuration, or null before the first one was read.
   std::function<const SiteConfiguration *()> Configuration;
+  /// \returns when the last reply must be sent, because the process exits.
+  std::function<Instant()> LatestReply;
   /// \returns the state if this daemon is the holder, has loaded all jobs, may
   /// send commands and has the job.
   std::function<std::optional<JobState>(const JobId &)> LocalState;
--- a/packages/site/src/jobtable.cpp
+++ b/packages/site/src/jobtable.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds CallTimeout{900};
 /// Pause before a failed call is retried.
 constexpr milliseconds RetryPause{60};
+/// Shortest wait for the outcome of a submission, so that it is tried once.
+constexpr milliseconds MinCompletionWait{1};
 /// Retry delay sent to callers when the table can't be reached.
 constexpr milliseconds RetryAfter{1000};
 /// Jobs whose rows in the jobs table, two for each, are deleted in one
@@ -119,15 +121,25 @@
   JobSpec Spec;
   Instant Deadline;
   AsyncEvent Completion;
-  bool MayBeStored = false; ///< A transaction with it had an unknown outcome.
+  /// A transaction with it is under way or had an unknown outcome.
+  bool MayBeStored = false;
   bool IsCompleted = false;
   Result<std::int64_t> Outcome = 0;
 
   void complete(Result<std::int64_t> Value) {
+    if (this->IsCompleted)
+      return; // The caller was told that the outcome is unknown.
     this->Outcome = std::move(Value);
     this->IsCompleted = true;
     this->Completion.notify();
   }
+
+  void giveUp() {
+    this->complete(
+        makeError(this->MayBeStored ? ErrorKind::PlatformOutcomeUnknown
+                                    : ErrorKind::PlatformUnavailable,
+                  "the job could not be stored in time", RetryAfter));
+  }
 };
 
 struct JobTable::PartitionQueue {
@@ -149,6 +161,11 @@
           Job.str()};
 }
 
+Duration JobTable::callTimeout(Instant Deadline) const {
+  return std::clamp<Duration>(Deadline - this->Clock.now(), MinCompletionWait,
+                              CallTimeout);
+}
+
 std::shared_ptr<JobTable::PartitionQueue>
 JobTable::queueOf(const JobId &Job) const {
   return this->PartitionQueues[partitionIndexOf(Job)];
@@ -166,8 +183,13 @@
     spawn(this->Executor, "job-acceptance",
           [this, Queue] { return this->processQueue(Queue); });
   }
-  while (!Entry->IsCompleted)
-    co_await Entry->Completion.wait(seconds(1));
+  // The table may not answer until long after the caller has left.
+  while (!Entry->IsCompleted) {
+    co_await Entry->Completion.wait(std::max<Duration>(
+        Entry->Deadline - this->Clock.now(), MinCompletionWait));
+    if (this->Clock.now() >= Entry->Deadline)
+      Entry->giveUp();
+  }
   co_return Entry->Outcome;
 }
 
@@ -180,10 +202,7 @@
         return true;
       if (Now < Entry->Deadline && this->Store.reachable())
         return false;
-      Entry->complete(
-          makeError(Entry->MayBeStored ? ErrorKind::PlatformOutcomeUnknown
-                                       : ErrorKind::PlatformUnavailable,
-                    "the job could not be stored in time", RetryAfter));
+      Entry->giveUp();
       return true;
     });
   }
@@ -195,6 +214,8 @@
   std::vector<std::shared_ptr<Submission>> Batch;
   std::size_t Bytes = 0;
   for (const auto &Entry : Queue.Submissions) {
+    if (Entry->IsCompleted)
+      continue;
     const bool IsDuplicate = std::ranges::any_of(Batch, [&](const auto &Other) {
       return Other->Spec.Id == Entry->Spec.Id;
     });
@@ -210,18 +231,24 @@
     Change.Writes.push_back({Key, std::move(Text)});
     Batch.push_back(Entry);
   }
+  if (Batch.empty())
+    co_return;
+  std::vector<bool> Uncertain; // Before this transaction.
+  for (const auto &Entry : Batch)
+    Uncertain.push_back(std::exchange(Entry->MayBeStored, true));
   const auto Outcome =
       co_await this->Store.transact(std::move(Change), CallTimeout);
   if (!Outcome) {
     const bool OutcomeUnknown =
         Outcome.error().Kind == ErrorKind::PlatformOutcomeUnknown;
-    for (const auto &Entry : Batch)
-      Entry->MayBeStored = Entry->MayBeStored || OutcomeUnknown;
+    for (std::size_t Index = 0; Index < Batch.size(); ++Index)
+      Batch[Index]->MayBeStored = Uncertain[Index] || OutcomeUnknown;
     this->Stats.countRetry(RetryReason::PlatformTimeout);
     co_await sleepFor(RetryPause);
     co_return;
   }
-  for (const auto &Entry : Batch) {
+  for (std::size_t Index = 0; Index < Batch.size(); ++Index) {
+    const auto &Entry = Batch[Index];
     const RowKey Key = jobKey(Entry->Spec.Id);
     const bool Exists =
         std::ranges::any_of(Outcome->Conflicts, [&](const Row &Other) {
@@ -231,6 +258,8 @@
     // submission of the same job.
     if (Outcome->Applied || Exists)
       Entry->complete(Outcome->Applied ? Outcome->Version : 0);
+    else // The transaction failed on another row: nothing of it is stored.
+      Entry->MayBeStored = Uncertain[Index];
   }
 }
 
@@ -240,8 +269,9 @@
   // rows of other jobs if all ids have the same length.
   const std::string EndKey = Job.str() + "~";
   while (true) {
-    auto Page = co_await this->Store.read(
-        {Key.Table, Key.Partition, Key.Key, EndKey}, CallTimeout);
+    auto Page =
+        co_await this->Store.read({Key.Table, Key.Partition, Key.Key, EndKey},
+                                  this->callTimeout(Deadline));
     if (Page) {
       std::optional<StoredJob> Found;
       bool Cancelled = false;
@@ -260,7 +290,7 @@
       const RowKey ProgressKey = progressKey(Job);
       const auto Progress = co_await this->Store.read(
           {ProgressKey.Table, ProgressKey.Partition, ProgressKey.Key, EndKey},
-          CallTimeout);
+          this->callTimeout(Deadline));
       if (Progress && !Progress->Rows.empty())
         if (auto Decoded = decodeProgress(Progress->Rows.front().Value))
           Found->Progress = std::move(*Decoded);
@@ -281,8 +311,8 @@
     Transaction Change;
     Change.Preconditions.push_back({jobKey(Job.Spec.Id), Job.Version});
     Change.Writes.push_back({cancelKey(Job.Spec.Id), "{}"});
-    const auto Outcome =
-        co_await this->Store.transact(std::move(Change), CallTimeout);
+    const auto Outcome = co_await this->Store.transact(
+        std::move(Change), this->callTimeout(Deadline));
     if (Outcome && Outcome->Applied)
       co_return Result<void>();
     if (Outcome) // The job ended long ago and was removed meanwhile.
--- a/packages/site/src/jobtable.h
+++ b/packages/site/src/jobtable.h
@@ -77,6 +77,8 @@
 private:
   struct Submission;
   struct PartitionQueue;
+  /// \returns the time limit of a call for a caller that leaves at \p Deadline.
+  Duration callTimeout(Instant Deadline) const;
   std::shared_ptr<PartitionQueue> queueOf(const JobId &Job) const;
   Async<void> processQueue(std::shared_ptr<PartitionQueue> Queue);
   Async<void> commit(PartitionQueue &Queue);
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -75,6 +75,7 @@
   std::optional<SiteConfiguration> Configuration;
   std::vector<MaintenanceWave> Waves;
   bool Stopping = false;
+  Instant ExitAt = Instant::max(); ///< Set by a planned stop.
   boost::asio::signal_set Signals;
   PeerApiDeps PeerDeps;
   std::unique_ptr<HttpServer> CallerServer;
@@ -128,6 +129,7 @@
           [this] {
             return this->Configuration ? &*this->Configuration : nullptr;
           },
+      .LatestReply = [this] { return this->ExitAt; },
       .LocalState = [this](const JobId &Job) -> std::optional<JobState> {
         return this->isActiveHolder() ? this->LocalHolder->stateOf(Job)
                                       : std::nullopt;
@@ -357,6 +359,7 @@
 Async<void> SiteDaemon::State::shutDown() {
   const StopSchedule Schedule =
       StopSchedule::of(this->Clock.now(), this->Settings.StopGracePeriod);
+  this->ExitAt = Schedule.ExitAt;
   logEvent(LogLevel::Info, "daemon.stopping",
            {{"daemon", this->Settings.Name},
             {"holds", this->LocalHolder ? "yes" : "no"}});
--- a/packages/site/tests/fakestore.h
+++ b/packages/site/tests/fakestore.h
@@ -17,6 +17,7 @@
   NotDone, ///< Fails with an error that says that nothing was done.
   Lost,    ///< Applied, but the answer is lost.
   Late,    ///< No answer; applied when the test calls applyLate().
+  Hangs,   ///< Waits until the test sets MayAnswer; then as None.
 };
 
 class FakeStore : public IStore {
@@ -31,6 +32,8 @@
       this->LateTransactions.push_back(std::move(Change));
       co_return makeError(ErrorKind::PlatformOutcomeUnknown, "late");
     }
+    while (Fault == CallFault::Hangs && !this->MayAnswer)
+      co_await sleepFor(milliseconds(1));
     const TransactionOutcome Outcome = this->apply(Change);
     if (Fault == CallFault::Lost)
       co_return makeError(ErrorKind::PlatformOutcomeUnknown, "lost");
@@ -109,6 +112,7 @@
   std::size_t PageSize = 500;
   int Transactions = 0;
   bool Reachable = true;
+  bool MayAnswer = false; ///< Ends CallFault::Hangs.
   /// Number of transactions after which the store is unreachable; -1: no limit.
   int MaxReachableTransactions = -1;
 
--- a/packages/site/tests/jobtable_test.cpp
+++ b/packages/site/tests/jobtable_test.cpp
@@ -188,3 +188,51 @@
   Reachability.recordSuccess(at(2300));
   CHECK_FALSE(Reachability.isLost(at(2301)));
 }
+
+TEST_CASE(
+    "a submission is answered at its deadline while the table is silent") {
+  // A call to the table may last longer than the caller waits. The outcome is
+  // then unknown, since the transaction may still be applied.
+  JobTableFixture Fixture;
+  Fixture.Store.Faults = {CallFault::Hangs};
+  constexpr int WithinMs = 5;
+  const auto Unknown = runToEnd<Result<std::int64_t>>(
+      Fixture.Context, [&]() -> Async<Result<std::int64_t>> {
+        const Instant Deadline = Fixture.Clock.now() + milliseconds(WithinMs);
+        Fixture.Clock.advance(milliseconds(WithinMs));
+        auto Outcome = co_await Fixture.Jobs.accept(jobOf("a"), Deadline);
+        Fixture.Store.MayAnswer = true; // Only after the caller has its answer.
+        co_return Outcome;
+      });
+  REQUIRE_FALSE(Unknown.has_value());
+  CHECK((Unknown.error().Kind == ErrorKind::PlatformOutcomeUnknown));
+  CHECK(Fixture.load()->Changes.size() == 1);
+  CHECK(Fixture.accept("a").value() == 0);
+}
+
+TEST_CASE("a submission that waits behind another one is refused at its "
+          "deadline") {
+  // Both jobs are in one partition; the second is in no transaction yet.
+  JobTableFixture Fixture;
+  Fixture.Store.Faults = {CallFault::Hangs};
+  std::optional<Result<std::int64_t>> First;
+  const auto Second = runToEnd<Result<std::int64_t>>(
+      Fixture.Context, [&]() -> Async<Result<std::int64_t>> {
+        spawn(Fixture.Context.get_executor(), "first", [&]() -> Async<void> {
+          First = co_await Fixture.Jobs.accept(jobOf("a"), Fixture.Clock.now() +
+                                                               seconds(5));
+        });
+        while (Fixture.Store.Transactions == 0)
+          co_await sleepFor(milliseconds(1));
+        const Instant Deadline = Fixture.Clock.now() + milliseconds(5);
+        Fixture.Clock.advance(milliseconds(5));
+        auto Outcome = co_await Fixture.Jobs.accept(jobOf("i"), Deadline);
+        Fixture.Store.MayAnswer = true;
+        co_return Outcome;
+      });
+  REQUIRE_FALSE(Second.has_value());
+  CHECK((Second.error().Kind == ErrorKind::PlatformUnavailable));
+  REQUIRE(First.has_value());
+  CHECK(First->value() > 0);
+  CHECK(Fixture.load()->Changes.size() == 1);
+}
