--- a/packages/site/src/ownershipmanager.cpp
+++ b/packages/site/src/ownershipmanager.cpp
@@ -16,6 +16,7 @@
 /// ends if a route to the table does not answer.
 constexpr milliseconds RenewalTimeout{650};
 constexpr milliseconds ProbeTimeout{300};
+constexpr seconds RenewalLogInterval{1};
 /// Claims of several daemons are spread over this time to avoid conflicts.
 constexpr int MaxClaimJitterMs = 120;
 /// How long a daemon waits for those with much more capacity to claim first.
@@ -90,6 +91,9 @@
     co_return;
   this->RenewalFailed = !Outcome;
   if (!Outcome) { // The lease is still valid; the next round retries.
+    if (SentAt < this->NextRenewalLog)
+      co_return;
+    this->NextRenewalLog = SentAt + RenewalLogInterval;
     logEvent(LogLevel::Warning, "ownership.renewal_failed",
              {{"token", std::to_string(this->Lease->token())},
               {"reason", Outcome.error().Detail}});
--- a/packages/site/src/ownershipmanager.h
+++ b/packages/site/src/ownershipmanager.h
@@ -75,6 +75,7 @@
   bool IsLeaving = false;
   bool LeavingStored = false;
   bool RenewalFailed = false; ///< The latest renewal had no answer.
+  Instant NextRenewalLog{};
   std::unique_ptr<HttpClient> ProbeClient;
   std::function<bool()> MayHaveLargerPeer = [] { return false; };
   Instant ClaimableSince{};
