Less work for each listing; ended incarnations are forgotten after 5 minutes

Cause: samples of the holder at a peak show the look-up of a run's step and the scan of the ends that are not stored as its own costliest functions: each was repeated for all runs of all VMs five times a second, and for each link every 8 ms while it waits for the table.

Change: a run knows whether it is long-running; stuck runs are looked up only after their time-out; ends that are stored leave the list when it is read; ended incarnations are kept for five minutes, far longer than their registry entries.

Test: an ended incarnation is ignored for five minutes and then not remembered; with entries that are kept for ever, it fails.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -7,6 +7,14 @@
 
 namespace sardinerill::site {
 
+namespace {
+
+/// How long an ended incarnation of an upstream is ignored. Its registry entry
+/// is gone after three heartbeats, and reads are at most some seconds old.
+constexpr seconds RetiredRetention{300};
+
+} // namespace
+
 std::string describe(const TaskId &Id) {
   return Id.Job.str() + "." + std::to_string(Id.Occurrence) + "." +
          std::to_string(Id.Step) + "." + std::to_string(Id.Index);
@@ -186,7 +194,10 @@
                                Instant Now) {
   if (const auto Found = this->Inner->Upstreams.find(Id);
       Found != this->Inner->Upstreams.end())
-    this->Inner->Retired[Id] = Found->second->Report.IncarnationStartMs;
+    this->Inner->Retired[Id] = {Found->second->Report.IncarnationStartMs, Now};
+  std::erase_if(this->Inner->Retired, [&](const auto &Entry) {
+    return Now - Entry.second.RetiredAt > RetiredRetention;
+  });
   this->removeUpstream(Id, Reason, Now);
 }
 
@@ -221,9 +232,8 @@
     return {};
   const UpstreamRecord &Upstream = *Found->second;
   const auto LongRunning =
-      std::ranges::count_if(Upstream.Runs, [this](const auto &Entry) {
-        const StepSpec *Step = this->Inner->spec(Entry.first.Task);
-        return Step && Step->LongRunning;
+      std::ranges::count_if(Upstream.Runs, [](const auto &Entry) {
+        return Entry.second->LongRunning;
       });
   return {.Fresh = this->Inner->hasRecentAnswer(Upstream, Now),
           .Runs = int(Upstream.Runs.size()),
@@ -234,7 +244,7 @@
 void Scheduler::updateUpstream(const UpstreamReport &Report, Instant Now) {
   if (const auto Ended = this->Inner->Retired.find(Report.Id);
       Ended != this->Inner->Retired.end() &&
-      Report.IncarnationStartMs <= Ended->second)
+      Report.IncarnationStartMs <= Ended->second.IncarnationStartMs)
     return;
   auto &Existing = this->Inner->Upstreams[Report.Id];
   if (Existing && Existing->Report.IncarnationStartMs &&
@@ -298,11 +308,14 @@
   const auto Found = this->Inner->Upstreams.find(Id);
   if (Found == this->Inner->Upstreams.end())
     return 0;
-  const UpstreamRecord &Upstream = *Found->second;
-  for (const auto &[Sequence, End] : Upstream.UnstoredEndedRuns) {
+  UpstreamRecord &Upstream = *Found->second;
+  auto &Unstored = Upstream.UnstoredEndedRuns;
+  while (!Unstored.empty()) {
+    const auto &[Sequence, End] = *Unstored.begin();
     const JobRecord *Job = this->Inner->job(End.Job);
     if (Job && Job->StoredRevision < End.Revision)
       return Sequence - 1;
+    Unstored.erase(Unstored.begin());
   }
   return Upstream.LastEndSequence;
 }
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -29,6 +29,7 @@
   Resources Reserved; ///< On the upstream. Ceilings count StepSpec::Requested,
                       ///< which includes the CPU of best-effort tasks.
   OrganisationId Organisation;
+  bool LongRunning = false; ///< As StepSpec::LongRunning.
   Instant StartedAt{};
   Instant PhaseChangedAt{};
   bool StopRequested = false;
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -48,6 +48,7 @@
   Added->Phase = Phase;
   Added->Reserved = reservedResources(Step);
   Added->Organisation = Organisation;
+  Added->LongRunning = Step.LongRunning;
   Added->StartedAt = Added->PhaseChangedAt = Added->ProgressAt = Now;
   Upstream.Used += Added->Reserved;
   Upstream.Runs[Id] = Added;
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -39,6 +39,11 @@
   double Factor = 1.0;
 };
 
+struct RetiredIncarnation {
+  std::int64_t IncarnationStartMs = 0;
+  Instant RetiredAt{};
+};
+
 struct Scheduler::Impl {
   explicit Impl(SchedulerOptions Options) : Options(Options) {}
 
@@ -165,8 +170,8 @@
   Instant NextRelocation{};
   std::vector<Command> Commands;
   std::set<JobId> ChangedJobs;
-  /// IncarnationStartMs of the retired upstreams. Entries are never removed.
-  std::map<UpstreamId, std::int64_t> Retired;
+  /// Incarnations that have ended. A registry entry of one may be read later.
+  std::map<UpstreamId, RetiredIncarnation> Retired;
   void rebuildPools();
 };
 
--- a/packages/scheduling/src/schedulersupervision.cpp
+++ b/packages/scheduling/src/schedulersupervision.cpp
@@ -154,10 +154,11 @@
       continue;
     std::vector<RunPtr> Stuck;
     for (const auto &[Run, Candidate] : Upstream->Runs) {
+      if (Candidate->Phase != RunPhase::Active || Candidate->StopRequested ||
+          Now - Candidate->ProgressAt <= StuckTimeout)
+        continue;
       const StepSpec *Step = this->spec(Run.Task);
-      if (Step && !Step->LongRunning && !Step->Gang &&
-          Candidate->Phase == RunPhase::Active && !Candidate->StopRequested &&
-          Now - Candidate->ProgressAt > StuckTimeout)
+      if (Step && !Step->LongRunning && !Step->Gang)
         Stuck.push_back(Candidate);
     }
     for (const RunPtr &StuckRun : Stuck) {
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -242,6 +242,20 @@
   CHECK(Site.JobScheduler.upstreams().size() == 1);
 }
 
+TEST_CASE("ended incarnations of upstreams are not remembered for ever") {
+  // Each move of a VM ends one, several thousand an hour on a large site.
+  constexpr std::int64_t RetentionMs = 300000;
+  TestSite Site;
+  const UpstreamReport Report = Site.add("u1", 8000).Report;
+  Site.JobScheduler.retireUpstream(Report.Id, "test", at(0));
+  Site.JobScheduler.updateUpstream(Report, at(RetentionMs));
+  CHECK(Site.JobScheduler.upstreams().empty());
+  Site.JobScheduler.retireUpstream(UpstreamId("u2"), "test",
+                                   at(RetentionMs + 1));
+  Site.JobScheduler.updateUpstream(Report, at(RetentionMs + 2));
+  CHECK(Site.JobScheduler.upstreams().size() == 1);
+}
+
 TEST_CASE(
     "tasks of a lost upstream restart elsewhere; a cancelled job's do not") {
   TestSite Site;
