--- a/packages/site/src/ownershipmanager.cpp
+++ b/packages/site/src/ownershipmanager.cpp
@@ -16,6 +16,7 @@
 /// ends if a route to the table does not answer.
 constexpr milliseconds RenewalTimeout{650};
 constexpr milliseconds ProbeTimeout{300};
+constexpr seconds RenewalLogInterval{1};
 /// Claims of several daemons are spread over this time to avoid conflicts.
 constexpr int MaxClaimJitterMs = 120;
 /// How long a daemon waits for those with much more capacity to claim first.
@@ -90,6 +91,9 @@
     co_return;
   this->RenewalFailed = !Outcome;
   if (!Outcome) { // The lease is still valid; the next round retries.
+    if (SentAt < this->NextRenewalLog)
+      co_return;
+    this->NextRenewalLog = SentAt + RenewalLogInterval;
     logEvent(LogLevel::Warning, "ownership.renewal_failed",
              {{"token", std::to_string(this->Lease->token())},
               {"reason", Outcome.error().Detail}});
@@ -239,19 +243,24 @@
        .LastInheritedVersion = this->Observer.lastInheritedVersion()});
 }
 
-Async<void> OwnershipManager::release() {
+Async<bool> OwnershipManager::release(Instant Deadline) {
   this->IsLeaving = true;
   if (!this->Lease || this->Lease->isLost())
-    co_return;
+    co_return true;
+  const Duration Remaining = Deadline - this->Deps.Clock.now();
+  if (Remaining <= Duration::zero())
+    co_return false;
   OwnershipRow ReleasedRow = this->ownRow(this->Term);
   ReleasedRow.Released = true;
   Transaction Change;
   Change.Preconditions.push_back({ownershipKey(), this->RowVersion});
   Change.Writes.push_back({ownershipKey(), encodeOwnership(ReleasedRow)});
-  const auto Outcome =
-      co_await this->Deps.Store.transact(std::move(Change), CallTimeout);
+  const auto Outcome = co_await this->Deps.Store.transact(
+      std::move(Change), std::min<Duration>(CallTimeout, Remaining));
+  const bool Stored = Outcome && Outcome->Applied;
   logEvent(LogLevel::Info, "ownership.released",
-           {{"stored", Outcome && Outcome->Applied ? "yes" : "no"}});
+           {{"stored", Stored ? "yes" : "no"}});
+  co_return Stored;
 }
 
 } // namespace sardinerill::site
