A restarted daemon does not use a configuration older than its peers'

Cause: looked for as a fault of similar systems (a withdrawn key in use again after a restart). After the table has lost its history its reads can be seconds old, and a new process took the first configuration that it read; what guards a running process, its highest version, is lost with it.

Change: a new process asks up to three peers which version they use (0.3 s each, at once) before it serves; if one uses a newer one it reads again, at most for 6 s, and says so (configuration.behind_peers). Peers that can't be reached don't hold it back.

Tests: a stale first read, no peer, and a property; with the comparison taken out of mayServe() two of the three fail.

--- a/packages/site/src/jobtable.cpp
+++ b/packages/site/src/jobtable.cpp
@@ -234,6 +234,7 @@
   if (Batch.empty())
     co_return;
   std::vector<bool> Uncertain; // Before this transaction.
+  Uncertain.reserve(Batch.size());
   for (const auto &Entry : Batch)
     Uncertain.push_back(std::exchange(Entry->MayBeStored, true));
   const auto Outcome =
--- a/packages/site/src/peerapi.cpp
+++ b/packages/site/src/peerapi.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view AlivePath = "/alive";
+constexpr std::string_view ConfigurationPath = "/configuration";
 constexpr std::string_view ReleasedPath = "/released";
 constexpr std::string_view ChangePath = "/changes";
 constexpr std::string_view JobPath = "/jobs/";
@@ -51,6 +52,21 @@
   return makeRequest("GET", std::string(AlivePath));
 }
 
+HttpRequest configurationVersionRequest() {
+  return makeRequest("GET", std::string(ConfigurationPath));
+}
+
+std::optional<std::int64_t>
+decodeConfigurationVersion(const HttpResponse &Answer) {
+  std::int64_t Version = 0;
+  const char *const TextEnd = Answer.Body.data() + Answer.Body.size();
+  const auto [End, Error] =
+      std::from_chars(Answer.Body.data(), TextEnd, Version);
+  const bool Valid = Answer.Status == 200 && Error == std::errc() &&
+                     End == TextEnd && Version >= 0;
+  return Valid ? std::optional(Version) : std::nullopt;
+}
+
 HttpRequest handoverRequest() {
   return makeRequest("POST", std::string(ReleasedPath));
 }
@@ -94,6 +110,9 @@
   const std::string_view Target = Request.Target;
   if (Target == AlivePath)
     co_return HttpResponse{.Status = 200, .Body = Deps.Incarnation};
+  if (Target == ConfigurationPath)
+    co_return HttpResponse{.Status = 200,
+                           .Body = std::to_string(Deps.ConfigurationVersion())};
   if (Target == ReleasedPath) {
     Deps.OnOwnershipAvailable();
     co_return HttpResponse{.Status = 200};
--- a/packages/site/src/peerapi.h
+++ b/packages/site/src/peerapi.h
@@ -18,6 +18,11 @@
 
 HttpRequest aliveRequest();
 HttpRequest handoverRequest();
+/// Asks for the version of the configuration that a daemon uses.
+HttpRequest configurationVersionRequest();
+/// \returns the version; none if the daemon did not answer with one.
+std::optional<std::int64_t>
+decodeConfigurationVersion(const HttpResponse &Answer);
 
 /// Client for the holder's peer API.
 class HolderClient {
@@ -46,6 +51,8 @@
   std::function<int(const QueueId &)> PendingJobs;
   std::function<void(const JobChange &)> OnChangeNotice;
   std::function<void()> OnOwnershipAvailable;
+  /// \returns the version of the configuration in use; 0 if there is none.
+  std::function<std::int64_t()> ConfigurationVersion;
   std::function<std::string()> RenderMetrics;
 };
 
@@ -66,6 +73,8 @@
   /// Registers this daemon, then refreshes the list of the others periodically.
   Async<void> run();
   const std::vector<Endpoint> &peers() const { return this->Peers; }
+  /// \returns whether the list has been read.
+  bool hasList() const { return this->Refreshes > 0; }
   /// \returns whether a daemon with much more capacity is listed, or the list
   /// may still be incomplete.
   bool mayHaveLargerPeer() const {
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -4,6 +4,7 @@
 #include "holder.h"
 #include "ownershipmanager.h"
 #include "peerapi.h"
+#include "startupconfiguration.h"
 #include "stopschedule.h"
 
 #include "sardinerill/base/logging.h"
@@ -26,6 +27,13 @@
 constexpr milliseconds PeerNoticeTimeout{200};
 constexpr milliseconds ShutdownPollInterval{50};
 constexpr std::size_t IncarnationBytes = 8;
+/// Peers that a new process asks for the version of their configuration.
+constexpr std::size_t MaxPeersAsked = 3;
+constexpr milliseconds PeerQuestionTimeout{300};
+/// Longest wait for the list of peers, and for a configuration as new as
+/// theirs: reads of the table are at most some seconds old.
+constexpr milliseconds MaxPeerListWait{1000};
+constexpr milliseconds MaxWaitForPeerVersion{6000};
 constexpr milliseconds LagProbeInterval{200};
 /// A delay of the event loop above this is logged.
 constexpr milliseconds MaxLoopLag{250};
@@ -55,6 +63,13 @@
   void waitForSignal();
   void reload();
   Async<void> watchSettings();
+  /// Asks peers for the version of the configuration that they use.
+  Async<void> checkConfiguration();
+  const SiteConfiguration *usableConfiguration() const {
+    return this->Configuration && this->Startup.mayServe()
+               ? &*this->Configuration
+               : nullptr;
+  }
   /// Measures how late the event loop runs what is due.
   Async<void> watchLoopLag();
   PeerApiDeps peerApiDeps();
@@ -73,6 +88,7 @@
   CallerHandler CallHandler;
   std::shared_ptr<Holder> LocalHolder;
   std::optional<SiteConfiguration> Configuration;
+  StartupConfiguration Startup;
   std::vector<MaintenanceWave> Waves;
   bool Stopping = false;
   Instant ExitAt = Instant::max(); ///< Set by a planned stop.
@@ -125,10 +141,7 @@
       .Jobs = this->Jobs,
       .Stats = *this->Stats,
       .DecodeJob = this->Adapters.DecodeJob,
-      .Configuration =
-          [this] {
-            return this->Configuration ? &*this->Configuration : nullptr;
-          },
+      .Configuration = [this] { return this->usableConfiguration(); },
       .LatestReply = [this] { return this->ExitAt; },
       .LocalState = [this](const JobId &Job) -> std::optional<JobState> {
         return this->isActiveHolder() ? this->LocalHolder->stateOf(Job)
@@ -171,6 +184,10 @@
               this->LocalHolder->applyNotifiedChange(Change);
           },
       .OnOwnershipAvailable = [this] { this->Ownership.checkNow(); },
+      .ConfigurationVersion = [this]() -> std::int64_t {
+        const SiteConfiguration *InUse = this->usableConfiguration();
+        return InUse ? InUse->Version : 0;
+      },
       .RenderMetrics = [this] { return this->Stats->renderPrometheus(); }};
 }
 
@@ -211,6 +228,7 @@
        Snapshot.Configuration->Version <= this->Configuration->Version))
     return;
   this->Configuration = Snapshot.Configuration;
+  this->Startup.recordRead(this->Configuration->Version);
   logEvent(LogLevel::Info, "configuration.in_force",
            {{"version", std::to_string(this->Configuration->Version)},
             {"queues", std::to_string(this->Configuration->Queues.size())}});
@@ -235,8 +253,10 @@
     if (Snapshot) {
       this->applyConfiguration(*Snapshot);
       Version = std::max(Version, Snapshot->Version);
+      if (this->Startup.needsNewerRead())
+        Version = -1; // The table serves an old configuration.
       // No configuration exists yet: pause before the next read.
-      if (IsFirst && !this->Configuration)
+      if ((IsFirst && !this->Configuration) || Version < 0)
         co_await sleepFor(RetryPause);
       continue;
     }
@@ -256,7 +276,7 @@
 Async<HttpResponse> SiteDaemon::State::handleReadinessRequest() {
   // Without the table no call can be served, so the balancer should send
   // callers to other daemons.
-  const bool Ready = !this->Stopping && this->Configuration &&
+  const bool Ready = !this->Stopping && this->usableConfiguration() &&
                      this->Adapters.Store->reachable();
   co_return HttpResponse{.Status = Ready ? 200 : 503};
 }
@@ -287,6 +307,41 @@
   }
 }
 
+Async<void> SiteDaemon::State::checkConfiguration() {
+  const Instant StartedAt = this->Clock.now();
+  while (!this->Directory.hasList() &&
+         this->Clock.now() < StartedAt + MaxPeerListWait)
+    co_await sleepFor(ShutdownPollInterval);
+  std::vector<Endpoint> Asked = this->Directory.peers();
+  Asked.resize(std::min(Asked.size(), MaxPeersAsked));
+  std::size_t Pending = Asked.size();
+  for (const Endpoint &Peer : Asked)
+    spawn(this->Context.get_executor(), "configuration-question",
+          [this, Peer, &Pending]() -> Async<void> {
+            HttpClient Client(this->Context.get_executor(), {.Peer = Peer});
+            const auto Answer = co_await Client.call(
+                configurationVersionRequest(), PeerQuestionTimeout);
+            if (Answer)
+              this->Startup.recordPeer(
+                  decodeConfigurationVersion(*Answer).value_or(0));
+            --Pending;
+          });
+  while (Pending > 0)
+    co_await sleepFor(HandoverPollInterval);
+  this->Startup.endQuestions();
+  if (!this->Startup.needsNewerRead())
+    co_return;
+  logEvent(
+      LogLevel::Warning, "configuration.behind_peers",
+      {{"version",
+        std::to_string(this->Configuration ? this->Configuration->Version : 0)},
+       {"peer_version", std::to_string(this->Startup.peerVersion())}});
+  while (this->Startup.needsNewerRead() &&
+         this->Clock.now() < StartedAt + MaxWaitForPeerVersion)
+    co_await sleepFor(ShutdownPollInterval);
+  this->Startup.giveUp();
+}
+
 Async<void> SiteDaemon::State::watchLoopLag() {
   Instant NextLog{};
   while (true) {
@@ -398,6 +453,8 @@
   this->waitForSignal();
   spawn(Executor, "operator", [this] { return this->watchConfiguration(); });
   spawn(Executor, "settings", [this] { return this->watchSettings(); });
+  spawn(Executor, "configuration-check",
+        [this] { return this->checkConfiguration(); });
   spawn(Executor, "loop-lag", [this] { return this->watchLoopLag(); });
   spawn(Executor, "peers", [this] { return this->Directory.run(); });
   spawn(Executor, "ownership", [this] { return this->Ownership.run(); });
