--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -153,16 +153,24 @@
   CHECK(RequestsReceived == 1);
 }
 
+namespace {
+
+/// \param Requests incremented with each request; outlives the handler.
+HttpHandler countingEcho(int &Requests) {
+  return [&Requests](HttpRequest Request) -> Async<HttpResponse> {
+    ++Requests;
+    return echo(std::move(Request));
+  };
+}
+
+} // namespace
+
 TEST_CASE("a request is not sent once its permission has ended") {
   // A command may wait for its connection. Meanwhile the lease of the sender
   // may end, and another daemon may send commands.
   Loopback Network;
   int Requests = 0;
-  const auto Server =
-      Network.serve([&](HttpRequest Request) -> Async<HttpResponse> {
-        ++Requests;
-        return echo(std::move(Request));
-      });
+  const auto Server = Network.serve(countingEcho(Requests));
   HttpClient Client = Network.client(Server->port());
   const auto Refuse = [] { return false; };
   for (const bool OnKeptConnection : {false, true}) {
@@ -184,11 +192,7 @@
   // The process may be suspended between the start of a call and its request.
   Loopback Network;
   int Requests = 0;
-  const auto Server =
-      Network.serve([&](HttpRequest Request) -> Async<HttpResponse> {
-        ++Requests;
-        return echo(std::move(Request));
-      });
+  const auto Server = Network.serve(countingEcho(Requests));
   HttpClient Client = Network.client(Server->port());
   REQUIRE(Network.call(Client, post("first")).has_value());
   constexpr milliseconds Limit{5};
