A long-running task whose start was answered late is not stopped

A start without an answer in 0.25 s was stopped at once, also if the task had begun, while 21 others of its step were away.

Change: the next listing decides about a long-running task: listed, it goes on; not listed, it is stopped, which bars a late start, and started again.

--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -15,7 +15,8 @@
 
 enum class RunPhase {
   Starting,  ///< The start command was issued.
-  Uncertain, ///< The outcome of the start is unknown; a stop was issued.
+  Uncertain, ///< The outcome of the start is unknown. A stop was issued, or is
+             ///< if the next listing does not show a long-running task.
   Fenced,    ///< The stop was acknowledged: the run can no longer start.
   Active,    ///< The upstream has confirmed the run.
 };
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -239,6 +239,11 @@
                                          Instant SentAt, Instant Now) {
   std::vector<RunPtr> Removed;
   for (const auto &[Id, Candidate] : Upstream.Runs) {
+    const bool MayStartLate = Candidate->Phase == RunPhase::Uncertain &&
+                              !Listed.contains(Id) &&
+                              Candidate->PhaseChangedAt < SentAt;
+    if (MayStartLate)
+      this->requestStop(Candidate);
     const bool Confirmed = Candidate->Phase == RunPhase::Active ||
                            Candidate->Phase == RunPhase::Fenced;
     if (Confirmed && !Listed.contains(Id) && Candidate->PhaseChangedAt < SentAt)
@@ -332,8 +337,12 @@
     if (Started->Phase != RunPhase::Starting)
       return;
     Started->Phase = RunPhase::Uncertain;
+    Started->PhaseChangedAt = Now;
     Upstream.Unresponsive = true;
-    this->Inner->requestStop(Started);
+    // The answer may only be slow. A long-running task that has begun would be
+    // interrupted, so that the next listing decides.
+    if (!Started->LongRunning)
+      this->Inner->requestStop(Started);
     return;
   }
   if (Outcome == StartOutcome::TicketInvalid)
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -142,6 +142,41 @@
   CHECK(Next[0].Run.Number == 2);
 }
 
+TEST_CASE("a long-running task whose start was answered late is not stopped") {
+  // Many VMs join a pool at a peak, and answers to starts are read late. Tasks
+  // that had begun were stopped while the others of their step were away.
+  TestSite Site;
+  FakeUpstream &Upstream = Site.add("u1", 8000);
+  StepSpec Step = stepOf(1, 1000, 500);
+  Step.LongRunning = true;
+  Step.MaxUnavailable = 0;
+  Site.submit(jobOf(TestJob.str(), {Step}));
+  Upstream.Unreachable = true; // The answer is late: the outcome is unknown.
+  REQUIRE(Site.schedule().size() == 1);
+  Upstream.Unreachable = false;
+  const RunId Run{task(0, 0), 1};
+  SUBCASE("it has begun") {
+    Upstream.Running[Run] = {Site.NowMs + 60000, 100};
+    CHECK(Site.schedule().empty());
+    CHECK(Upstream.Running.contains(Run));
+    Site.advance(100);
+    CHECK(Site.schedule().empty());
+    Site.advance(3000);
+    CHECK(Site.schedule().empty());
+    CHECK(Upstream.Running.contains(Run));
+  }
+  SUBCASE("it may begin later") {
+    // It is barred by a stop, and started again once that is acknowledged.
+    Site.advance(100);
+    CHECK(Site.schedule().empty());
+    Site.advance(100);
+    const auto Next = Site.schedule();
+    REQUIRE(Next.size() == 1);
+    CHECK(Next[0].Run.Number == 2);
+    CHECK(Upstream.Fenced.contains(Run));
+  }
+}
+
 TEST_CASE(
     "inherited tasks that may run on unanswered upstreams are not started "
     "again") {
--- a/packages/scheduling/tests/testsite.h
+++ b/packages/scheduling/tests/testsite.h
@@ -199,6 +199,7 @@
     FakeUpstream &Upstream = this->Upstreams.at(Stop.Upstream.str());
     if (Upstream.Unreachable)
       return;
+    Upstream.Fenced.insert(Stop.Run);
     Upstream.end(Stop.Run, RunEnd::Stopped);
     this->JobScheduler.handleStopOutcome(
         Stop.Upstream, Stop.Run, StopOutcome::Acknowledged, at(this->NowMs));
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -19,7 +19,7 @@
 /// Timeout of a poll that the upstream answers at once, such as the first one.
 constexpr milliseconds ImmediatePollTimeout{500};
 /// Timeouts of commands; an upstream answers within a few milliseconds.
-constexpr milliseconds StartTimeout{250};
+constexpr milliseconds StartTimeout{500};
 constexpr milliseconds StopTimeout{400};
 constexpr milliseconds PaceTimeout{600};
 /// Pause before the next poll when the upstream does not answer or no commands
