--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -203,8 +203,12 @@
 
 Async<void> UpstreamLink::sendStop(StopCommand Stop) {
   while (this->isActive()) {
-    if (!this->Context->Ownership.maySendCommands(this->Context->Clock.now()))
-      co_return;
+    // The ownership may be renewed again, for example after an outage of the
+    // table. Without this command the run would count for ever.
+    if (!this->Context->Ownership.maySendCommands(this->Context->Clock.now())) {
+      co_await sleepFor(RetryPause);
+      continue;
+    }
     const StopOutcome Outcome = co_await this->Client->stop(
         Stop, this->Context->Ownership.token(), StopTimeout);
     if (!this->isActive())
