--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -4,6 +4,7 @@
 #include "sardinerill/base/logging.h"
 
 #include <algorithm>
+#include <array>
 
 namespace sardinerill::site {
 
@@ -13,6 +14,16 @@
 /// is gone after three heartbeats, and reads are at most some seconds old.
 constexpr seconds RetiredRetention{300};
 
+std::string_view nameOf(RunPhase Phase) {
+  constexpr std::array<std::string_view, 4> Names{"starting", "uncertain",
+                                                  "fenced", "active"};
+  return Names[static_cast<std::size_t>(Phase)];
+}
+
+std::int64_t ageMs(Instant Since, Instant Now) {
+  return std::chrono::duration_cast<milliseconds>(Now - Since).count();
+}
+
 } // namespace
 
 std::string describe(const TaskId &Id) {
@@ -296,6 +307,11 @@
             {"runs", std::to_string(LostRuns.size())}});
   // The tasks may be started elsewhere at once.
   for (const auto &[Run, Record] : LostRuns) {
+    logEvent(LogLevel::Info, "run.lost",
+             {{"run", describe(Run)},
+              {"upstream", Id.str()},
+              {"phase", std::string(nameOf(Record->Phase))},
+              {"age_ms", std::to_string(ageMs(Record->StartedAt, Now))}});
     this->Inner->removeRun(Record);
     if (TaskRecord *Task = this->Inner->task(Run.Task))
       Task->NotBefore = Now;
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -109,6 +109,18 @@
 
 void Holder::run() {
   const auto Self = this->shared_from_this();
+  const auto FromNow = [Now = this->Deps.Clock.now()](Instant Time) {
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(Time - Now).count());
+  };
+  logEvent(
+      LogLevel::Info, "holder.started",
+      {{"token", std::to_string(this->Claim.Token)},
+       {"inherited_commands_until_ms", FromNow(latestCommandTime(this->Claim))},
+       {"inherited_leases_until_ms",
+        FromNow(inheritedLeasesExpireAt(this->Deps, this->Claim))},
+       {"inherited_jobs_until_version",
+        std::to_string(this->Claim.LastInheritedVersion)}});
   spawn(this->Deps.Executor, "holder-load",
         [Self] { return Self->loadJobsAndStart(); });
   spawn(this->Deps.Executor, "holder-vm-list",
