A request that was given up is not delivered after a partition

The VM control saw a move by an earlier holder after one of its successor (rule ONE).

Cause: the holder is cut off while it sends a command for a VM. The call is given up after 1.5 s, and its connection closed. A closed connection keeps what it has not delivered: the command arrived 10 s later, when the partition had ended, with the token of a holder that had been succeeded. The check before the write cannot see that.

Change: connections of the client are closed with a reset, which discards what was not delivered. The same holds for starts, stops and calls to the table.

The new test fails without the option: the peer reads a normal end instead of a reset.

--- a/packages/http/src/httpclient.cpp
+++ b/packages/http/src/httpclient.cpp
@@ -28,6 +28,10 @@
 void setSocketOptions(tcp::socket &Socket) {
   error_code Ignored; // The connection also works without these options.
   Socket.set_option(tcp::no_delay(true), Ignored);
+  // A call that is given up closes its connection. A normal close would leave
+  // the request in the send buffer, to be delivered when a network partition
+  // ends, seconds after the permission to send it has expired.
+  Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
   using UserTimeout =
       asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   Socket.set_option(UserTimeout(UserTimeoutMs), Ignored);
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -75,6 +75,27 @@
   }
 }
 
+TEST_CASE("a request that was given up is not delivered later") {
+  // A normal close keeps unsent bytes until they can be delivered, for example
+  // when a partition ends: a command arrived 10 s after its holder had lost
+  // the permission to send it.
+  Loopback Network;
+  tcp::acceptor Acceptor(Network.Context,
+                         {asio::ip::make_address("127.0.0.1"), 0});
+  HttpClient Client = Network.client(Acceptor.local_endpoint().port());
+  // Larger than the socket buffers, so that a part stays unsent.
+  const CallResult Response = Network.call(
+      Client, post(std::string(64 << 20, 'x')), nullptr, milliseconds(300));
+  REQUIRE_FALSE(Response.has_value());
+  CHECK(Response.error() == HttpCallError::NoResponse);
+  tcp::socket Peer = Acceptor.accept();
+  std::vector<char> Bytes(1 << 20);
+  boost::system::error_code Error;
+  while (!Error)
+    Peer.read_some(asio::buffer(Bytes), Error);
+  CHECK(Error == asio::error::connection_reset);
+}
+
 TEST_CASE("a body over the limit gets 413 and the server keeps serving") {
   Loopback Network;
   const auto Server = Network.serve(echo);
