A stop that only bars a late start is not repeated once the task runs

Callers lost a long-running task at work while another of its step was away (AVAIL).

Cause: a start without an answer may be carried out late, so that a listing without the run makes the holder stop it. If that stop got no answer either, it was sent again until one was acknowledged, also after the late start had been carried out and the task was at work; the budget of its step was not looked at.

Change: such a stop is withdrawn when a listing shows the run, and a listing is requested before a stop is repeated. The new test fails without the withdrawal: the fake upstream's run is ended.

The fixture of the scheduler's tests drops stops to upstreams that are gone, as the holder does.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -147,6 +147,9 @@
   /// upstream did not answer in time, or could not be reached.
   void recordFailedPoll(const UpstreamId &Id, bool ConnectionBroke,
                         Instant Now);
+  /// \returns whether a stop of \p Run that got no answer is still to be sent:
+  /// false if it was withdrawn.
+  bool wantsStop(const UpstreamId &Id, const RunId &Run) const;
   /// \returns whether an upstream has lost contact that may have ended.
   bool hasLostContact() const;
   /// As removeUpstream(), and ignores later registry entries of the same or an
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -35,6 +35,9 @@
   Instant StartedAt{};
   Instant PhaseChangedAt{};
   bool StopRequested = false;
+  /// The stop only bars a start that may be carried out late. It is withdrawn
+  /// if the run is found at work.
+  bool StopOnlyBars = false;
   bool StoppedAsStuck = false; ///< Not used.
   int Percent = 0;
   Instant ProgressAt{};              ///< Last change of the percentage.
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -201,6 +201,12 @@
   if (const auto Found = Upstream.Runs.find(Listed.Run);
       Found != Upstream.Runs.end()) {
     Known = Found->second;
+    if (std::exchange(Known->StopOnlyBars, false)) {
+      Known->StopRequested = false;
+      logEvent(LogLevel::Info, "run.stop_withdrawn",
+               {{"run", describe(Listed.Run)},
+                {"upstream", Upstream.Report.Id.str()}});
+    }
     if (Known->Phase != RunPhase::Active) {
       Known->Phase = RunPhase::Active;
       Known->PhaseChangedAt = Known->ProgressAt = Now;
@@ -250,8 +256,12 @@
     const bool MayStartLate = Candidate->Phase == RunPhase::Uncertain &&
                               !Listed.contains(Id) &&
                               Candidate->PhaseChangedAt < SentAt;
-    if (MayStartLate)
+    if (MayStartLate) {
+      Candidate->StopOnlyBars =
+          Candidate->StopOnlyBars ||
+          (Candidate->LongRunning && !Candidate->StopRequested);
       this->requestStop(Candidate);
+    }
     const bool Confirmed = Candidate->Phase == RunPhase::Active ||
                            Candidate->Phase == RunPhase::Fenced;
     if (Confirmed && !Listed.contains(Id) && Candidate->PhaseChangedAt < SentAt)
@@ -363,6 +373,14 @@
   this->Inner->removeRun(Started);
 }
 
+bool Scheduler::wantsStop(const UpstreamId &Id, const RunId &Run) const {
+  const auto Found = this->Inner->Upstreams.find(Id);
+  if (Found == this->Inner->Upstreams.end())
+    return true;
+  const auto Known = Found->second->Runs.find(Run);
+  return Known == Found->second->Runs.end() || Known->second->StopRequested;
+}
+
 void Scheduler::handleStopOutcome(const UpstreamId &Id, const RunId &Run,
                                   StopOutcome Outcome, Instant Now) {
   const auto Found = this->Inner->Upstreams.find(Id);
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -177,6 +177,33 @@
   }
 }
 
+TEST_CASE("the stop of a long-running task that began late is not repeated") {
+  // Orders are carried out late. The repeated stop, meant to bar the start,
+  // ended the task at work while another of its step was away.
+  TestSite Site;
+  FakeUpstream &Upstream = Site.add("u1", 8000);
+  StepSpec Step = stepOf(1, 1000, 500);
+  Step.LongRunning = true;
+  Step.MaxUnavailable = 0;
+  Site.submit(jobOf(TestJob.str(), {Step}));
+  Upstream.Unreachable = true;
+  REQUIRE(Site.schedule().size() == 1);
+  const RunId Run{task(0, 0), 1};
+  Site.NowMs += 100;
+  Upstream.Unreachable = false;
+  Site.poll(Upstream); // Does not list the run.
+  Upstream.Unreachable = true;
+  Site.schedule(); // The stop gets no answer.
+  CHECK(Site.JobScheduler.wantsStop(Upstream.Report.Id, Run));
+  Upstream.Unreachable = false;
+  Upstream.Running[Run] = {Site.NowMs + 60000, 100};
+  Site.advance(100);
+  CHECK_FALSE(Site.JobScheduler.wantsStop(Upstream.Report.Id, Run));
+  CHECK(Site.schedule().empty());
+  Site.advance(3000);
+  CHECK(Upstream.Running.contains(Run));
+}
+
 TEST_CASE(
     "inherited tasks that may run on unanswered upstreams are not started "
     "again") {
--- a/packages/scheduling/tests/testsite.h
+++ b/packages/scheduling/tests/testsite.h
@@ -196,9 +196,10 @@
   }
 
   void execute(const StopCommand &Stop) {
-    FakeUpstream &Upstream = this->Upstreams.at(Stop.Upstream.str());
-    if (Upstream.Unreachable)
+    const auto Found = this->Upstreams.find(Stop.Upstream.str());
+    if (Found == this->Upstreams.end() || Found->second.Unreachable)
       return;
+    FakeUpstream &Upstream = Found->second;
     Upstream.Fenced.insert(Stop.Run);
     Upstream.end(Stop.Run, RunEnd::Stopped);
     this->JobScheduler.handleStopOutcome(
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -230,6 +230,8 @@
       co_await sleepFor(RetryPause);
       continue;
     }
+    if (!this->Context->JobScheduler.wantsStop(this->Report.Id, Stop.Run))
+      co_return;
     const StopOutcome Outcome = co_await this->Client->stop(
         Stop, this->Context->Ownership.token(), StopTimeout);
     if (!this->isActive())
@@ -241,6 +243,8 @@
     if (Outcome != StopOutcome::Unknown)
       co_return;
     co_await sleepFor(StopRetryPause);
+    // The start that this stop is to bar may have been carried out late.
+    co_await this->fetchListing();
   }
 }
 
