A run of an ended job that a new holder finds counts until it has ended

A worker can be started over its capacity, and a tenant over its cap (LIMIT, QUOTA), after a takeover.

Cause: callers cancel jobs also while there is no holder. The new one loads the job as cancelled, finds its runs in the first listing and stops them, but did not count them: neither on their upstream, which may not guard its capacity, nor for the ceiling. What is being stopped still counts, for up to 0.9 s.

Ruled out: runs that this holder started; these are counted until they are listed as ended.

Change: such a run is added with its stop requested. Without a specification, for jobs whose end an earlier holder had stored, it is stopped as before and does not count.

--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -202,17 +202,19 @@
   } else {
     JobRecord *Job = this->job(Listed.Run.Task.Job);
     const TaskRecord *Task = this->task(Listed.Run.Task);
-    if (!Job || !Task || Job->ended()) {
-      // A run of an ended job is stopped. A run of an unknown job is left
-      // alone: the job may not be known here yet.
-      if (Job && Job->ended())
+    const StepSpec *Step = this->spec(Listed.Run.Task);
+    // A run of an ended job is stopped, and counts until it has ended. A run of
+    // an unknown job is left alone: the job may not be known here yet.
+    const bool Ended = Job && Job->ended();
+    if (!Step || (!Task && !Ended)) {
+      // The specification of a job whose end was stored earlier is not loaded.
+      if (Ended)
         this->Commands.push_back(StopCommand{Upstream.Report.Id, Listed.Run});
       return;
     }
-    const StepSpec &Step = *this->spec(Listed.Run.Task);
     const bool Redundant =
-        Task->Done || (!Step.Speculative && !Task->Runs.empty());
-    Known = this->addRun(Upstream, Listed.Run, Step, Job->Spec.Organisation,
+        Ended || Task->Done || (!Step->Speculative && !Task->Runs.empty());
+    Known = this->addRun(Upstream, Listed.Run, *Step, Job->Spec.Organisation,
                          RunPhase::Active, Now);
     logEvent(LogLevel::Info, "run.adopted",
              {{"run", describe(Listed.Run)},
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -321,6 +321,31 @@
   CHECK(Site.schedule().size() == 1);
 }
 
+TEST_CASE("a run of a cancelled job that a new holder finds counts until it "
+          "has ended") {
+  // Callers cancel jobs also while there is no holder. A run that is being
+  // stopped still uses its upstream, which may not guard its capacity.
+  TestSite Site({.Term = 1, .InheritedRunsUntil = at(5000)});
+  Site.Configuration.Organisations[0].Ceiling = {5000, 0, 0};
+  Site.JobScheduler.configure(Site.Configuration);
+  FakeUpstream &Upstream = Site.add("u1", 4000);
+  const RunId Run{task(0, 0), 1};
+  Upstream.Running[Run] = {60000, 50};
+  Site.submit(jobOf(TestJob.str(), {stepOf(1, 3000, 500)}), true);
+  Site.JobScheduler.cancelJob(TestJob, at(Site.NowMs));
+  SUBCASE("its end is not stored yet") {}
+  SUBCASE("its end is stored") { Site.storeAll(); }
+  Site.poll(Upstream);
+  CHECK(Site.usedCpu("u1") == 3000);
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(4, 1000, 500)}), false);
+  CHECK(Site.schedule().size() == 1); // Its stop is sent as well.
+  CHECK_FALSE(Upstream.Running.contains(Run));
+  Site.NowMs += 10;
+  Site.poll(Upstream);
+  CHECK(Site.schedule().size() == 3);
+  CHECK(Site.usedCpu("u1") == 4000);
+}
+
 TEST_CASE(
     "an upstream that did not answer a start gets no tasks until it answers") {
   // If a zone is partitioned during a peak and the other VMs are full, only the
