Ceilings include all that earlier holders may run out of reach

Cause: what inherited jobs may use on upstreams that have not answered was reckoned from jobs that live and from steps whose dependencies this holder knows to have ended.

Ruled out: jobs that end under this holder; their runs are counted until they are listed as ended or their upstream is lost.

Change: a job that ends while its pool has upstreams without an answer keeps its possible use; and all steps count whose dependencies have ended or have no known run. Both are bounded by the capacity of these upstreams, as before, and end with the leases. Not covered: jobs whose end an earlier holder had stored; their rows are not decoded.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -85,6 +85,7 @@
                              std::string_view Reason, Instant Now) {
   if (Job.ended())
     return;
+  this->recordInheritedEnd(Job);
   Job.State = State;
   Job.EndedAt = Now;
   this->LiveJobs.erase(Job.Spec.Id);
--- a/packages/scheduling/src/schedulerinherited.cpp
+++ b/packages/scheduling/src/schedulerinherited.cpp
@@ -1,4 +1,3 @@
-#include "jobgraph.h"
 #include "schedulerstate.h"
 
 #include <algorithm>
@@ -20,6 +19,29 @@
           .Accelerators = std::min(Left.Accelerators, Right.Accelerators)};
 }
 
+/// \returns for each step whether an earlier holder may have started it: what
+/// it depends on has ended, or may have where this holder got no answer.
+std::vector<bool> stepsThatMayRun(const JobSpec &Spec,
+                                  const OccurrenceRecord &Occurrence) {
+  std::vector<bool> MayRun(Spec.Steps.size());
+  std::vector<bool> MayHaveEnded(Spec.Steps.size());
+  for (std::size_t Step = 0; Step < Spec.Steps.size(); ++Step) {
+    // Steps are listed after their dependencies; others are ignored.
+    MayRun[Step] =
+        std::ranges::all_of(Spec.Steps[Step].DependsOn, [&](int Dependency) {
+          return Dependency < 0 || Dependency >= int(Step) ||
+                 MayHaveEnded[std::size_t(Dependency)];
+        });
+    MayHaveEnded[Step] =
+        MayRun[Step] && std::ranges::all_of(Occurrence.Steps[Step].Tasks,
+                                            [](const TaskRecord &Task) {
+                                              return Task.Done ||
+                                                     Task.Runs.empty();
+                                            });
+  }
+  return MayRun;
+}
+
 } // namespace
 
 bool Scheduler::Impl::hasUnansweredUpstream(const PoolId &Pool) const {
@@ -74,32 +96,54 @@
          !this->FullyAnsweredPools.contains(Pool);
 }
 
+PossibleUse Scheduler::Impl::possibleUseOf(const JobRecord &Job) const {
+  PossibleUse Sum;
+  for (const auto &[Number, Occurrence] : Job.Occurrences) {
+    const std::vector<bool> MayRun = stepsThatMayRun(Job.Spec, Occurrence);
+    for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
+      if (!MayRun[Step])
+        continue;
+      const auto TasksWithoutRun = std::ranges::count_if(
+          Occurrence.Steps[Step].Tasks, [](const TaskRecord &Task) {
+            return !Task.Done && Task.Runs.empty();
+          });
+      const StepSpec &Spec = Job.Spec.Steps[Step];
+      (Spec.BestEffort ? Sum.BestEffort : Sum.Reserved) +=
+          Spec.Requested * TasksWithoutRun;
+    }
+  }
+  return Sum;
+}
+
+void Scheduler::Impl::recordInheritedEnd(const JobRecord &Job) {
+  const PoolId &Pool = this->queueSettingsOf(Job).Pool;
+  if (this->isBlockedByInheritedRuns(Job, Pool))
+    this->EndedInheritedJobs.push_back(
+        {Pool, Job.Spec.Organisation, this->possibleUseOf(Job)});
+}
+
 void Scheduler::Impl::updatePossibleInheritedUse(Instant Now) {
   this->PossibleInheritedUse.clear();
-  if (Now >= this->Options.InheritedRunsUntil)
+  if (Now >= this->Options.InheritedRunsUntil) {
+    this->EndedInheritedJobs.clear();
     return;
+  }
   std::map<std::pair<PoolId, OrganisationId>, Resources> PossiblyRunning;
+  const auto Add = [&](const PoolId &Pool, const OrganisationId &Organisation,
+                       const PossibleUse &Use) {
+    PossiblyRunning[{Pool, Organisation}] += Use.Reserved;
+    // Best-effort tasks reserve no CPU, so the capacity does not limit them.
+    this->PossibleInheritedUse[Organisation] += Use.BestEffort;
+  };
   for (const JobId &Id : this->LiveJobs) {
     const JobRecord &Job = *this->Jobs.at(Id);
     const PoolId &Pool = this->queueSettingsOf(Job).Pool;
-    if (!this->isBlockedByInheritedRuns(Job, Pool))
-      continue;
-    Resources &Sum = PossiblyRunning[{Pool, Job.Spec.Organisation}];
-    for (const auto &[Number, Occurrence] : Job.Occurrences)
-      for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
-        if (!isReady(Job.Spec, Occurrence, int(Step)))
-          continue;
-        const auto TasksWithoutRun = std::ranges::count_if(
-            Occurrence.Steps[Step].Tasks, [](const TaskRecord &Task) {
-              return !Task.Done && Task.Runs.empty();
-            });
-        const StepSpec &Spec = Job.Spec.Steps[Step];
-        // Best-effort tasks reserve no CPU, so the capacity does not limit
-        // them.
-        (Spec.BestEffort ? this->PossibleInheritedUse[Job.Spec.Organisation]
-                         : Sum) += Spec.Requested * TasksWithoutRun;
-      }
+    if (this->isBlockedByInheritedRuns(Job, Pool))
+      Add(Pool, Job.Spec.Organisation, this->possibleUseOf(Job));
   }
+  for (const EndedInheritedJob &Ended : this->EndedInheritedJobs)
+    if (!this->FullyAnsweredPools.contains(Ended.Pool))
+      Add(Ended.Pool, Ended.Organisation, Ended.Use);
   // Bounded by the capacity of the upstreams that have not answered.
   for (const auto &[Key, Sum] : PossiblyRunning)
     this->PossibleInheritedUse[Key.second] +=
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -44,6 +44,20 @@
   Instant RetiredAt{};
 };
 
+/// Resources of tasks that an earlier holder may have started.
+struct PossibleUse {
+  Resources Reserved;   ///< Of tasks that reserve what they use.
+  Resources BestEffort; ///< Of tasks that reserve no CPU.
+};
+
+/// An inherited job that ended while some upstreams had not answered. Its runs
+/// there go on until their leases expire.
+struct EndedInheritedJob {
+  PoolId Pool;
+  OrganisationId Organisation;
+  PossibleUse Use;
+};
+
 struct Scheduler::Impl {
   explicit Impl(SchedulerOptions Options) : Options(Options) {}
 
@@ -109,6 +123,10 @@
   /// answered this holder.
   Resources unansweredCapacity(const PoolId &Pool) const;
   bool isBlockedByInheritedRuns(const JobRecord &Job, const PoolId &Pool) const;
+  /// \returns what \p Job may have running on upstreams that have not answered.
+  PossibleUse possibleUseOf(const JobRecord &Job) const;
+  /// Keeps what \p Job, which ends now, may have running there.
+  void recordInheritedEnd(const JobRecord &Job);
   void updatePossibleInheritedUse(Instant Now);
   Resources possibleInheritedUse(const OrganisationId &Organisation) const;
 
@@ -155,6 +173,7 @@
   /// Resources that inherited tasks may use on upstreams that have not
   /// answered.
   std::map<OrganisationId, Resources> PossibleInheritedUse;
+  std::vector<EndedInheritedJob> EndedInheritedJobs;
   std::map<QueueId, RunTimeFactor> RunTimeFactors;
   std::map<OrganisationId, ShareLimiter> ShareLimiters;
   std::map<QueueId, ArrivalRateEstimator> ArrivalRates;
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -321,6 +321,54 @@
   CHECK(Site.schedule().size() == 1);
 }
 
+TEST_CASE(
+    "a ceiling includes tasks of a cancelled job on unanswered upstreams") {
+  // The previous holder is cut off with a zone that runs the job, and a caller
+  // cancels it through a daemon of another zone.
+  TestSite Site({.Term = 1, .InheritedRunsUntil = at(5000)});
+  Site.Configuration.Organisations[0].Ceiling = {3000, 0, 0};
+  Site.JobScheduler.configure(Site.Configuration);
+  Site.add("u1", 8000);
+  Site.addVm("u2");
+  Site.submit(jobOf(TestJob.str(), {stepOf(2, 1000, 500)}), true);
+  Site.JobScheduler.cancelJob(TestJob, at(Site.NowMs));
+  Site.storeAll();
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(3, 1000, 500)}), false);
+  CHECK(Site.schedule().size() == 1);
+  Site.NowMs = 5001;
+  CHECK(Site.schedule().size() == 2);
+}
+
+TEST_CASE("a ceiling includes steps that an earlier holder may have begun") {
+  // Their dependencies may have ended on an upstream that has not answered.
+  TestSite Site({.Term = 1, .InheritedRunsUntil = at(5000)});
+  Site.Configuration.Organisations[0].Ceiling = {4000, 0, 0};
+  Site.JobScheduler.configure(Site.Configuration);
+  Site.add("u1", 8000);
+  Site.addVm("u2");
+  Site.submit(
+      jobOf(TestJob.str(), {stepOf(1, 500, 500), stepOf(3, 1000, 500, {0})}),
+      true);
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(4, 1000, 500)}), false);
+  CHECK(Site.schedule().size() <= 1);
+}
+
+TEST_CASE(
+    "a ceiling ignores steps whose dependencies certainly have not ended") {
+  TestSite Site({.Term = 1, .InheritedRunsUntil = at(5000)});
+  Site.Configuration.Organisations[0].Ceiling = {4000, 0, 0};
+  Site.JobScheduler.configure(Site.Configuration);
+  FakeUpstream &Answering = Site.add("u1", 8000);
+  Site.addVm("u2");
+  Site.submit(
+      jobOf(TestJob.str(), {stepOf(1, 500, 500), stepOf(3, 1000, 500, {0})}),
+      true);
+  Answering.Running[{task(0, 0), 1}] = {60000, 0};
+  Site.poll(Answering);
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(4, 1000, 500)}), false);
+  CHECK(Site.schedule().size() == 3);
+}
+
 TEST_CASE("a run of a cancelled job that a new holder finds counts until it "
           "has ended") {
   // Callers cancel jobs also while there is no holder. A run that is being
