Runs of an occurrence that an earlier holder began too early are taken over

Cause: a holder creates an occurrence when it is due by its own wall clock. After one whose clock was ahead, the next did not know the occurrence that it found in a listing: it ignored active runs, for LIMIT and QUOTA too, and acknowledged ended ones without recording them. When the occurrence was due by its own clock, it started all its tasks again.

Change: a listed run creates all occurrences up to its own. Nothing of an occurrence is started before it is due, also when it is known from a listing or from stored progress.

Evidence: "an occurrence that an earlier holder began too early is not begun again" failed before, with an active run (0 of 1000 milli-CPUs counted, started again) and with an ended one (started again, job not completed).

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -109,11 +109,22 @@
                                            std::int64_t UnixMs) {
   const Recurrence &Due = Job.Spec.Schedule;
   while (Job.NextOccurrence < Due.Count &&
-         Due.FirstDueMs + Job.NextOccurrence * Due.IntervalMs <= UnixMs) {
-    const int Number = Job.NextOccurrence++;
-    if (!Job.Occurrences.contains(Number))
-      Job.Occurrences[Number] = makeOccurrence(Job.Spec, Number, nullptr);
-  }
+         Due.FirstDueMs + Job.NextOccurrence * Due.IntervalMs <= UnixMs)
+    this->createNextOccurrence(Job);
+}
+
+void Scheduler::Impl::createNextOccurrence(JobRecord &Job) {
+  const int Number = Job.NextOccurrence++;
+  if (!Job.Occurrences.contains(Number))
+    Job.Occurrences[Number] = makeOccurrence(Job.Spec, Number, nullptr);
+}
+
+void Scheduler::Impl::createListedOccurrence(const TaskId &Listed) {
+  JobRecord *Job = this->job(Listed.Job);
+  if (!Job || Job->ended() || Listed.Occurrence >= Job->Spec.Schedule.Count)
+    return;
+  while (Job->NextOccurrence <= Listed.Occurrence)
+    this->createNextOccurrence(*Job);
 }
 
 void Scheduler::Impl::rebuildPools() {
@@ -400,7 +411,7 @@
   Scheduling.relocateLongRunning(Now);
   Scheduling.updatePossibleInheritedUse(Now);
   Scheduling.MaxFree.clear();
-  std::vector<WaitingStep> Waiting = Scheduling.waitingSteps(Now);
+  std::vector<WaitingStep> Waiting = Scheduling.waitingSteps(Now, UnixMs);
   std::ranges::stable_sort(Waiting, isPlacedBefore, &WaitingStep::Work);
   for (const WaitingStep &Step : Waiting)
     Scheduling.placeTasks(Step, Now);
--- a/packages/scheduling/src/schedulerplacement.cpp
+++ b/packages/scheduling/src/schedulerplacement.cpp
@@ -60,7 +60,8 @@
           .AcceptedAt = Job.AcceptedAt};
 }
 
-std::vector<WaitingStep> Scheduler::Impl::waitingSteps(Instant Now) {
+std::vector<WaitingStep> Scheduler::Impl::waitingSteps(Instant Now,
+                                                       std::int64_t UnixMs) {
   std::vector<WaitingStep> Waiting;
   for (const JobId &Id : this->LiveJobs) {
     JobRecord &Job = *this->Jobs.at(Id);
@@ -68,7 +69,7 @@
     if (this->isBlockedByInheritedRuns(Job, Queue.Pool))
       continue;
     for (auto &[Number, Occurrence] : Job.Occurrences) {
-      if (Occurrence.UnfinishedTasks == 0)
+      if (Occurrence.UnfinishedTasks == 0 || Occurrence.DueMs > UnixMs)
         continue;
       for (std::size_t StepIndex = 0; StepIndex < Occurrence.Steps.size();
            ++StepIndex) {
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -131,6 +131,7 @@
 
 void Scheduler::Impl::applyEndedRun(UpstreamRecord &Upstream,
                                     const EndedRun &End, Instant Now) {
+  this->createListedOccurrence(End.Run.Task);
   JobRecord *Job = this->job(End.Run.Task.Job);
   TaskRecord *Task = this->task(End.Run.Task);
   const auto Found = Upstream.Runs.find(End.Run);
@@ -200,6 +201,7 @@
       Known->PhaseChangedAt = Known->ProgressAt = Now;
     }
   } else {
+    this->createListedOccurrence(Listed.Run.Task);
     JobRecord *Job = this->job(Listed.Run.Task.Job);
     const TaskRecord *Task = this->task(Listed.Run.Task);
     const StepSpec *Step = this->spec(Listed.Run.Task);
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -73,6 +73,11 @@
   void endJob(JobRecord &Job, JobState State, std::string_view Reason,
               Instant Now);
   void createDueOccurrences(JobRecord &Job, std::int64_t UnixMs);
+  void createNextOccurrence(JobRecord &Job);
+  /// Creates all occurrences up to that of \p Listed, a task of which an
+  /// upstream lists a run. An earlier holder, whose wall clock was ahead, has
+  /// created them before they are due here.
+  void createListedOccurrence(const TaskId &Listed);
 
   // Runs (schedulerruns.cpp)
   RunPtr addRun(UpstreamRecord &Upstream, const RunId &Id, const StepSpec &Step,
@@ -93,7 +98,7 @@
                       const std::vector<EndedRun> &Ends, Instant Now);
 
   // Placement (schedulerplacement.cpp)
-  std::vector<WaitingStep> waitingSteps(Instant Now);
+  std::vector<WaitingStep> waitingSteps(Instant Now, std::int64_t UnixMs);
   bool hasWaitingTask(const StepRecord &Step, Instant Now) const;
   WaitingWork waitingWorkOf(const JobRecord &Job, const QueueSettings &Queue,
                             const OccurrenceRecord &Occurrence,
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -394,6 +394,47 @@
   CHECK(Site.usedCpu("u1") == 4000);
 }
 
+TEST_CASE("an occurrence that an earlier holder began too early is not begun "
+          "again") {
+  // Its clock was ahead. The new holder finds the run before it has created the
+  // occurrence itself.
+  TestSite Site({.Term = 1, .InheritedRunsUntil = at(5000)});
+  FakeUpstream &Upstream = Site.add("u1", 8000);
+  JobSpec Spec = jobOf(TestJob.str(), {stepOf(1, 1000, 500)});
+  Spec.Schedule = {
+      .FirstDueMs = Site.NowMs + 2000, .IntervalMs = 1, .Count = 1};
+  Site.submit(Spec, true);
+  const RunId Run{task(0, 0), 1};
+  Upstream.Running[Run] = {Site.NowMs + 60000, 50};
+  SUBCASE("its run is active") {
+    Site.poll(Upstream);
+    CHECK(Site.usedCpu("u1") == 1000);
+    CHECK(Site.schedule().empty());
+    Site.NowMs += 2000;
+    CHECK(Site.schedule().empty());
+  }
+  SUBCASE("its run has ended") {
+    Upstream.end(Run, RunEnd::Done);
+    Site.poll(Upstream);
+    CHECK(Site.schedule().empty());
+    Site.storeAll();
+    Site.NowMs += 2000;
+    CHECK(Site.schedule().empty());
+    Site.storeAll();
+    CHECK((Site.JobScheduler.stateOf(TestJob) == JobState::Completed));
+  }
+  SUBCASE("its run has failed") {
+    Upstream.end(Run, RunEnd::Failed);
+    Site.poll(Upstream);
+    Site.NowMs += 1000;
+    CHECK(Site.schedule().empty()); // Not due yet.
+    Site.NowMs += 1000;
+    const auto Starts = Site.schedule();
+    REQUIRE(Starts.size() == 1);
+    CHECK(Starts[0].Run.Number > 1);
+  }
+}
+
 TEST_CASE(
     "an upstream that did not answer a start gets no tasks until it answers") {
   // If a zone is partitioned during a peak and the other VMs are full, only the
