A daemon that is being stopped does not claim

Tasks can run twice after a planned stop (TWICE).

Cause: claims are spread over 0.12 s. A stop signal in this pause did not prevent the claim, and the row carried the mark of a holder that hands over. Others take that for a promise that it accepts no more jobs, but the new holder accepts some until its first renewal. The next one counts these jobs as never started.

Evidence: "a daemon that is stopped while it is about to claim does not claim" failed before (the row was claimed).

--- a/packages/site/src/ownershipmanager.cpp
+++ b/packages/site/src/ownershipmanager.cpp
@@ -193,6 +193,9 @@
   const int JitterMs =
       int(std::hash<std::string>()(this->Incarnation) % MaxClaimJitterMs);
   co_await sleepFor(milliseconds(JitterMs));
+  // The row would say that its holder accepts no jobs.
+  if (this->IsLeaving)
+    co_return;
   const PredecessorState Predecessor = this->Observer.predecessorState();
   const Instant SentAt = this->Deps.Clock.now();
   this->EarlierCommandsUntil = this->Observer.earlierCommandsUntil(SentAt);
--- a/packages/site/tests/takeover_test.cpp
+++ b/packages/site/tests/takeover_test.cpp
@@ -128,3 +128,19 @@
   CHECK(Daemon.storedRow().Term == Daemon.Claims[0].Term);
   CHECK(Daemon.Claims[0].Term == 2); // The first claim is not taken up.
 }
+
+TEST_CASE(
+    "a daemon that is stopped while it is about to claim does not claim") {
+  // The row would say that the holder hands over, and so accepts no jobs, while
+  // the holder accepts some.
+  DaemonFixture Daemon;
+  Daemon.store({.Holder = "b", .Incarnation = "2", .Released = true});
+  Daemon.startManager();
+  // The read is done, and the pause that spreads claims has begun.
+  Daemon.runFor(milliseconds(5));
+  REQUIRE(Daemon.Claims.empty());
+  Daemon.Manager.startLeaving();
+  Daemon.runFor(milliseconds(500));
+  CHECK(Daemon.Claims.empty());
+  CHECK(Daemon.storedRow().Holder == "b");
+}
