A holder that loads late leaves the progress head to its successor

Cause: a holder claims the progress head before it loads, and tries until it succeeds. If it was cut off or stood still right after its claim of the site, it did so after its return, before it learnt of its successor. The successor's next progress then failed, which it took for a third holder.

Ruled out: a claim of the head that is carried out late; its precondition fails.

Change: the head names the token of its writer. A holder that finds a higher one than its own has been succeeded, and stops. The table of the tests waits a little where the real one does.

--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -183,6 +183,8 @@
   bool HeadClaimed = false;
   while (!this->Context->Stopped && !this->Loaded) {
     HeadClaimed = HeadClaimed || co_await this->claimProgressHead();
+    if (this->Ownership.isLost())
+      co_return;
     if (!HeadClaimed) {
       co_await sleepFor(HeadRetryPause);
       continue;
--- a/packages/site/src/holderprogress.cpp
+++ b/packages/site/src/holderprogress.cpp
@@ -3,6 +3,7 @@
 #include "unixtime.h"
 
 #include <algorithm>
+#include <charconv>
 
 /// \file
 /// Stores the progress of jobs. Every transaction expects and rewrites the head
@@ -19,6 +20,19 @@
 constexpr std::size_t MaxRowsPerTransaction = 90;
 constexpr seconds RemovalInterval{20};
 
+/// Name of a transaction on progress, stored in the head row.
+std::string batchId(std::int64_t Token, std::int64_t Number) {
+  return std::to_string(Token) + ":" + std::to_string(Number);
+}
+
+/// \returns the token of the holder that wrote \p BatchId; 0 if it can't be
+/// read.
+std::int64_t tokenOf(const std::string &BatchId) {
+  std::int64_t Token = 0;
+  std::from_chars(BatchId.data(), BatchId.data() + BatchId.size(), Token);
+  return Token;
+}
+
 } // namespace
 
 Async<bool> Holder::claimProgressHead() {
@@ -28,7 +42,7 @@
       co_await this->Deps.Store.read(std::move(Range), StoreTimeout);
   if (!Page)
     co_return false;
-  const std::string BatchId = std::to_string(this->Claim.Token) + ":0";
+  const std::string BatchId = batchId(this->Claim.Token, 0);
   std::int64_t Version = 0;
   for (const Row &StoredRow : Page->Rows) {
     Version = StoredRow.Version;
@@ -36,6 +50,11 @@
       this->HeadVersion = Version;
       co_return true;
     }
+    // This holder was cut off before it got here, and has been succeeded.
+    if (tokenOf(StoredRow.Value) > this->Claim.Token) {
+      this->Ownership.markSuperseded();
+      co_return false;
+    }
   }
   Transaction Change;
   Change.Preconditions.push_back({Key, Version});
@@ -50,8 +69,7 @@
 
 Async<bool>
 Holder::storeProgressBatch(std::span<const ProgressChange> Changes) {
-  const std::string BatchId = std::to_string(this->Claim.Token) + ":" +
-                              std::to_string(++this->BatchNumber);
+  const std::string BatchId = batchId(this->Claim.Token, ++this->BatchNumber);
   while (true) {
     const Duration Remaining = this->StoreDeadline - this->Deps.Clock.now();
     if (Remaining <= Duration::zero())
--- a/packages/site/tests/fakestore.h
+++ b/packages/site/tests/fakestore.h
@@ -62,6 +62,8 @@
     for (const auto &[Key, StoredRow] : this->Rows)
       if (Key.Table == Table && StoredRow.Version > After)
         Page.Rows.push_back(StoredRow);
+    if (Page.Rows.empty())
+      co_await sleepFor(milliseconds(5)); // Instead of the long poll.
     co_return Page;
   }
 
--- a/packages/site/tests/takeover_test.cpp
+++ b/packages/site/tests/takeover_test.cpp
@@ -144,3 +144,37 @@
   CHECK(Daemon.Claims.empty());
   CHECK(Daemon.storedRow().Holder == "b");
 }
+
+TEST_CASE(
+    "a holder that loads late leaves the progress head to its successor") {
+  // It was cut off right after its claim. If it takes the head back when the
+  // cut ends, the successor stops in the middle of its work.
+  DaemonFixture Daemon;
+  const std::string OfSuccessor = "20:3";
+  Daemon.Store.apply({.Writes = {{progressHeadKey(), OfSuccessor}}});
+  const auto Late = std::make_shared<Holder>(
+      Daemon.Deps, OwnershipTimings{},
+      OwnershipClaim{.Token = 9, .Term = 1, .ClaimSentAt = Daemon.Clock.now()});
+  Late->run();
+  Daemon.runFor(milliseconds(200));
+  CHECK(Daemon.Store.Rows.at(progressHeadKey()).Value == OfSuccessor);
+  CHECK(Late->ownership().isLost());
+  CHECK_FALSE(Late->ready());
+  Late->stop();
+  Daemon.runFor(milliseconds(2000));
+}
+
+TEST_CASE("a holder takes the progress head of an earlier one") {
+  DaemonFixture Daemon;
+  Daemon.Store.apply({.Writes = {{progressHeadKey(), "20:3"}}});
+  const auto Next = std::make_shared<Holder>(
+      Daemon.Deps, OwnershipTimings{},
+      OwnershipClaim{
+          .Token = 100, .Term = 1, .ClaimSentAt = Daemon.Clock.now()});
+  Next->run();
+  Daemon.runFor(milliseconds(200));
+  CHECK(Daemon.Store.Rows.at(progressHeadKey()).Value == "100:0");
+  CHECK(Next->ready());
+  Next->stop();
+  Daemon.runFor(milliseconds(2000));
+}
