--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -45,6 +45,20 @@
   Instant RetiredAt{};
 };
 
+/// Resources of tasks that an earlier holder may have started.
+struct PossibleUse {
+  Resources Reserved;   ///< Of tasks that reserve what they use.
+  Resources BestEffort; ///< Of tasks that reserve no CPU.
+};
+
+/// An inherited job that ended while some upstreams had not answered. Its runs
+/// there go on until their leases expire.
+struct EndedInheritedJob {
+  PoolId Pool;
+  OrganisationId Organisation;
+  PossibleUse Use;
+};
+
 struct Scheduler::Impl {
   explicit Impl(SchedulerOptions Options) : Options(Options) {}
 
@@ -60,6 +74,11 @@
   void endJob(JobRecord &Job, JobState State, std::string_view Reason,
               Instant Now);
   void createDueOccurrences(JobRecord &Job, std::int64_t UnixMs);
+  void createNextOccurrence(JobRecord &Job);
+  /// Creates all occurrences up to that of \p Listed, a task of which an
+  /// upstream lists a run. An earlier holder, whose wall clock was ahead, has
+  /// created them before they are due here.
+  void createListedOccurrence(const TaskId &Listed);
 
   // Runs (schedulerruns.cpp)
   RunPtr addRun(UpstreamRecord &Upstream, const RunId &Id, const StepSpec &Step,
@@ -92,7 +111,7 @@
   bool hasRunOnProbation(const JobRecord &Job) const;
 
   // Placement (schedulerplacement.cpp)
-  std::vector<WaitingStep> waitingSteps(Instant Now);
+  std::vector<WaitingStep> waitingSteps(Instant Now, std::int64_t UnixMs);
   bool hasWaitingTask(const StepRecord &Step, Instant Now) const;
   WaitingWork waitingWorkOf(const JobRecord &Job, const QueueSettings &Queue,
                             const OccurrenceRecord &Occurrence,
@@ -125,6 +144,10 @@
   /// answered this holder.
   Resources unansweredCapacity(const PoolId &Pool) const;
   bool isBlockedByInheritedRuns(const JobRecord &Job, const PoolId &Pool) const;
+  /// \returns what \p Job may have running on upstreams that have not answered.
+  PossibleUse possibleUseOf(const JobRecord &Job) const;
+  /// Keeps what \p Job, which ends now, may have running there.
+  void recordInheritedEnd(const JobRecord &Job);
   void updatePossibleInheritedUse(Instant Now);
   Resources possibleInheritedUse(const OrganisationId &Organisation) const;
 
@@ -171,6 +194,7 @@
   /// Resources that inherited tasks may use on upstreams that have not
   /// answered.
   std::map<OrganisationId, Resources> PossibleInheritedUse;
+  std::vector<EndedInheritedJob> EndedInheritedJobs;
   std::map<QueueId, RunTimeFactor> RunTimeFactors;
   std::map<OrganisationId, ShareLimiter> ShareLimiters;
   std::map<QueueId, ArrivalRateEstimator> ArrivalRates;
--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -348,6 +348,120 @@
   CHECK(Site.schedule().size() == 1);
 }
 
+TEST_CASE(
+    "a ceiling includes tasks of a cancelled job on unanswered upstreams") {
+  // The previous holder is cut off with a zone that runs the job, and a caller
+  // cancels it through a daemon of another zone.
+  TestSite Site({.Term = 1, .InheritedRunsUntil = at(5000)});
+  Site.Configuration.Organisations[0].Ceiling = {3000, 0, 0};
+  Site.JobScheduler.configure(Site.Configuration);
+  Site.add("u1", 8000);
+  Site.addVm("u2");
+  Site.submit(jobOf(TestJob.str(), {stepOf(2, 1000, 500)}), true);
+  Site.JobScheduler.cancelJob(TestJob, at(Site.NowMs));
+  Site.storeAll();
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(3, 1000, 500)}), false);
+  CHECK(Site.schedule().size() == 1);
+  Site.NowMs = 5001;
+  CHECK(Site.schedule().size() == 2);
+}
+
+TEST_CASE("a ceiling includes steps that an earlier holder may have begun") {
+  // Their dependencies may have ended on an upstream that has not answered.
+  TestSite Site({.Term = 1, .InheritedRunsUntil = at(5000)});
+  Site.Configuration.Organisations[0].Ceiling = {4000, 0, 0};
+  Site.JobScheduler.configure(Site.Configuration);
+  Site.add("u1", 8000);
+  Site.addVm("u2");
+  Site.submit(
+      jobOf(TestJob.str(), {stepOf(1, 500, 500), stepOf(3, 1000, 500, {0})}),
+      true);
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(4, 1000, 500)}), false);
+  CHECK(Site.schedule().size() <= 1);
+}
+
+TEST_CASE(
+    "a ceiling ignores steps whose dependencies certainly have not ended") {
+  TestSite Site({.Term = 1, .InheritedRunsUntil = at(5000)});
+  Site.Configuration.Organisations[0].Ceiling = {4000, 0, 0};
+  Site.JobScheduler.configure(Site.Configuration);
+  FakeUpstream &Answering = Site.add("u1", 8000);
+  Site.addVm("u2");
+  Site.submit(
+      jobOf(TestJob.str(), {stepOf(1, 500, 500), stepOf(3, 1000, 500, {0})}),
+      true);
+  Answering.Running[{task(0, 0), 1}] = {60000, 0};
+  Site.poll(Answering);
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(4, 1000, 500)}), false);
+  CHECK(Site.schedule().size() == 3);
+}
+
+TEST_CASE("a run of a cancelled job that a new holder finds counts until it "
+          "has ended") {
+  // Callers cancel jobs also while there is no holder. A run that is being
+  // stopped still uses its upstream, which may not guard its capacity.
+  TestSite Site({.Term = 1, .InheritedRunsUntil = at(5000)});
+  Site.Configuration.Organisations[0].Ceiling = {5000, 0, 0};
+  Site.JobScheduler.configure(Site.Configuration);
+  FakeUpstream &Upstream = Site.add("u1", 4000);
+  const RunId Run{task(0, 0), 1};
+  Upstream.Running[Run] = {60000, 50};
+  Site.submit(jobOf(TestJob.str(), {stepOf(1, 3000, 500)}), true);
+  Site.JobScheduler.cancelJob(TestJob, at(Site.NowMs));
+  SUBCASE("its end is not stored yet") {}
+  SUBCASE("its end is stored") { Site.storeAll(); }
+  Site.poll(Upstream);
+  CHECK(Site.usedCpu("u1") == 3000);
+  Site.submit(jobOf("ffffffffffffffff", {stepOf(4, 1000, 500)}), false);
+  CHECK(Site.schedule().size() == 1); // Its stop is sent as well.
+  CHECK_FALSE(Upstream.Running.contains(Run));
+  Site.NowMs += 10;
+  Site.poll(Upstream);
+  CHECK(Site.schedule().size() == 3);
+  CHECK(Site.usedCpu("u1") == 4000);
+}
+
+TEST_CASE("an occurrence that an earlier holder began too early is not begun "
+          "again") {
+  // Its clock was ahead. The new holder finds the run before it has created the
+  // occurrence itself.
+  TestSite Site({.Term = 1, .InheritedRunsUntil = at(5000)});
+  FakeUpstream &Upstream = Site.add("u1", 8000);
+  JobSpec Spec = jobOf(TestJob.str(), {stepOf(1, 1000, 500)});
+  Spec.Schedule = {
+      .FirstDueMs = Site.NowMs + 2000, .IntervalMs = 1, .Count = 1};
+  Site.submit(Spec, true);
+  const RunId Run{task(0, 0), 1};
+  Upstream.Running[Run] = {Site.NowMs + 60000, 50};
+  SUBCASE("its run is active") {
+    Site.poll(Upstream);
+    CHECK(Site.usedCpu("u1") == 1000);
+    CHECK(Site.schedule().empty());
+    Site.NowMs += 2000;
+    CHECK(Site.schedule().empty());
+  }
+  SUBCASE("its run has ended") {
+    Upstream.end(Run, RunEnd::Done);
+    Site.poll(Upstream);
+    CHECK(Site.schedule().empty());
+    Site.storeAll();
+    Site.NowMs += 2000;
+    CHECK(Site.schedule().empty());
+    Site.storeAll();
+    CHECK((Site.JobScheduler.stateOf(TestJob) == JobState::Completed));
+  }
+  SUBCASE("its run has failed") {
+    Upstream.end(Run, RunEnd::Failed);
+    Site.poll(Upstream);
+    Site.NowMs += 1000;
+    CHECK(Site.schedule().empty()); // Not due yet.
+    Site.NowMs += 1000;
+    const auto Starts = Site.schedule();
+    REQUIRE(Starts.size() == 1);
+    CHECK(Starts[0].Run.Number > 1);
+  }
+}
+
 TEST_CASE(
     "an upstream that did not answer a start gets no tasks until it answers") {
   // If a zone is partitioned during a peak and the other VMs are full, only the
