A start that the new process of an upstream may have accepted is not forgotten

A worker may start again under its id and address, and a call names only the id. A start that the holder sends before it learns of the restart is accepted by the new process. On the restart all runs of the upstream were dropped and their tasks started elsewhere at once; the outcome of a start in flight went into the new record, where the run was unknown, and was ignored.

Change: Scheduler::restartUpstream() drops only the runs that a listing of the old process has shown. The others count until a listing that was requested afterwards shows them or not. Those with an unknown outcome are stopped again, because the new process does not know what the old one acknowledged; for a long-running task the next listing decides, as after the start itself. The link stays open across the restart, with the clock and the lease begun anew; a stop that was under way is not counted. Until the registry has the new entry the upstream gets no new tasks, as before.

Leases: a start or a renewal on the clock of the old process may mean the longest lease on the new clock, and may arrive 12 s late. An upstream that falls silent after a restart is given up only when that has passed (18.4 s with a longest lease of 6 s).

Not changed: a process that is certainly gone (another id answers at its address, its VM moved or taken down, its lease expired) loses all runs at once.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -125,6 +125,12 @@
   /// Removes an upstream whose process has ended; its tasks are restarted.
   void removeUpstream(const UpstreamId &Id, std::string_view Reason,
                       Instant Now);
+  /// Records that the process of \p Id ended and another one runs under the
+  /// same id. Runs that the old process has listed are gone and are restarted.
+  /// The new process may have accepted the others: they count until a listing
+  /// that is requested after \p Now shows them or not.
+  void restartUpstream(const UpstreamId &Id, std::int64_t IncarnationStartMs,
+                       Instant Now);
   /// As removeUpstream(), and ignores later registry entries of the same or an
   /// earlier incarnation, because the registry keeps entries of ended processes
   /// for some time.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -4,7 +4,6 @@
 #include "sardinerill/base/logging.h"
 
 #include <algorithm>
-#include <array>
 
 namespace sardinerill::site {
 
@@ -14,16 +13,6 @@
 /// is gone after three heartbeats, and reads are at most some seconds old.
 constexpr seconds RetiredRetention{300};
 
-std::string_view nameOf(RunPhase Phase) {
-  constexpr std::array<std::string_view, 4> Names{"starting", "uncertain",
-                                                  "fenced", "active"};
-  return Names[static_cast<std::size_t>(Phase)];
-}
-
-std::int64_t ageMs(Instant Since, Instant Now) {
-  return std::chrono::duration_cast<milliseconds>(Now - Since).count();
-}
-
 } // namespace
 
 std::string describe(const TaskId &Id) {
@@ -263,7 +252,7 @@
       Existing->Report.IncarnationStartMs != Report.IncarnationStartMs) {
     if (Report.IncarnationStartMs < Existing->Report.IncarnationStartMs)
       return; // The entry was written by an earlier incarnation.
-    this->removeUpstream(Report.Id, "restarted under the same id", Now);
+    this->restartUpstream(Report.Id, Report.IncarnationStartMs, Now);
   }
   auto &Record = this->Inner->Upstreams[Report.Id];
   const bool IsNew = !Record;
@@ -305,17 +294,8 @@
             {"pool", Found->second->Report.Pool.str()},
             {"reason", std::string(Reason)},
             {"runs", std::to_string(LostRuns.size())}});
-  // The tasks may be started elsewhere at once.
-  for (const auto &[Run, Record] : LostRuns) {
-    logEvent(LogLevel::Info, "run.lost",
-             {{"run", describe(Run)},
-              {"upstream", Id.str()},
-              {"phase", std::string(nameOf(Record->Phase))},
-              {"age_ms", std::to_string(ageMs(Record->StartedAt, Now))}});
-    this->Inner->removeRun(Record);
-    if (TaskRecord *Task = this->Inner->task(Run.Task))
-      Task->NotBefore = Now;
-  }
+  for (const auto &[Run, Lost] : LostRuns)
+    this->Inner->loseRun(Lost, Now);
   this->Inner->Upstreams.erase(Id);
   this->Inner->rebuildPools();
 }
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -34,6 +34,7 @@
   Instant StartedAt{};
   Instant PhaseChangedAt{};
   bool StopRequested = false;
+  bool Listed = false; ///< The present incarnation has listed it as active.
   bool StoppedAsStuck = false; ///< Not used.
   int Percent = 0;
   Instant ProgressAt{};              ///< Last change of the percentage.
--- /dev/null
+++ b/packages/scheduling/src/schedulerrestart.cpp
@@ -0,0 +1,92 @@
+#include "schedulerstate.h"
+
+#include "sardinerill/base/logging.h"
+
+#include <array>
+
+/// \file
+/// Upstreams whose process has ended, and those that started again under the
+/// same id.
+///
+/// A command names only the id, so that a new process under the same id
+/// executes the starts that were sent to the old one and reach it late.
+
+namespace sardinerill::site {
+
+namespace {
+
+std::string_view nameOf(RunPhase Phase) {
+  constexpr std::array<std::string_view, 4> Names{"starting", "uncertain",
+                                                  "fenced", "active"};
+  return Names[static_cast<std::size_t>(Phase)];
+}
+
+std::int64_t ageMs(Instant Since, Instant Now) {
+  return std::chrono::duration_cast<milliseconds>(Now - Since).count();
+}
+
+} // namespace
+
+void Scheduler::Impl::loseRun(const RunPtr &Lost, Instant Now) {
+  logEvent(LogLevel::Info, "run.lost",
+           {{"run", describe(Lost->Id)},
+            {"upstream", Lost->Upstream.str()},
+            {"phase", std::string(nameOf(Lost->Phase))},
+            {"age_ms", std::to_string(ageMs(Lost->StartedAt, Now))}});
+  this->removeRun(Lost);
+  if (TaskRecord *Task = this->task(Lost->Id.Task))
+    Task->NotBefore = Now; // It may be started elsewhere at once.
+}
+
+void Scheduler::Impl::keepAcrossRestart(const RunPtr &Kept, Instant Now) {
+  const bool MayStartLate =
+      Kept->Phase == RunPhase::Uncertain || Kept->Phase == RunPhase::Fenced;
+  // The old process has acknowledged the stop, the new one knows nothing of it.
+  if (Kept->Phase == RunPhase::Fenced)
+    Kept->Phase = RunPhase::Uncertain;
+  // Only a listing that is requested from now on says anything about the run.
+  Kept->PhaseChangedAt = Kept->ProgressAt = Now;
+  Kept->ReadySince.reset();
+  // The next listing decides about a long-running task with an unknown start,
+  // as after the start itself.
+  const bool Stop = Kept->StopRequested || (MayStartLate && !Kept->LongRunning);
+  Kept->StopRequested = false;
+  if (Stop)
+    this->requestStop(Kept);
+}
+
+void Scheduler::restartUpstream(const UpstreamId &Id,
+                                std::int64_t IncarnationStartMs, Instant Now) {
+  const auto Found = this->Inner->Upstreams.find(Id);
+  if (Found == this->Inner->Upstreams.end() ||
+      Found->second->Report.IncarnationStartMs == IncarnationStartMs)
+    return;
+  UpstreamRecord &Record = *Found->second;
+  std::vector<RunPtr> Ended;
+  for (const auto &[Run, Each] : Record.Runs)
+    if (Each->Listed)
+      Ended.push_back(Each);
+  logEvent(LogLevel::Warning, "upstream.restarted",
+           {{"upstream", Id.str()},
+            {"pool", Record.Report.Pool.str()},
+            {"runs_ended", std::to_string(Ended.size())},
+            {"runs_kept", std::to_string(Record.Runs.size() - Ended.size())}});
+  for (const RunPtr &Each : Ended)
+    this->Inner->loseRun(Each, Now);
+  UpstreamRecord Next;
+  Next.Report = Record.Report;
+  Next.Report.IncarnationStartMs = IncarnationStartMs;
+  Next.Report.Draining = false;
+  // Gets no new tasks before the registry has the entry of the new process.
+  Next.Registered = false;
+  Next.UnregisteredAt = Next.ReportedAt = Now;
+  Next.Cordoned = Record.Cordoned;
+  Next.MaintenanceDue = Record.MaintenanceDue;
+  Next.Runs = std::move(Record.Runs);
+  Next.Used = Record.Used;
+  Record = std::move(Next);
+  for (const auto &[Run, Each] : Record.Runs)
+    this->Inner->keepAcrossRestart(Each, Now);
+}
+
+} // namespace sardinerill::site
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -221,6 +221,7 @@
     if (Redundant)
       this->requestStop(Known);
   }
+  Known->Listed = true;
   if (Listed.ProgressPercent != Known->Percent)
     Known->ProgressAt = Now;
   Known->Percent = Listed.ProgressPercent;
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -78,6 +78,12 @@
   void applyEndedRuns(UpstreamRecord &Upstream,
                       const std::vector<EndedRun> &Ends, Instant Now);
 
+  // Ended and restarted upstreams (schedulerrestart.cpp)
+  /// Drops a run that has ended with its upstream.
+  void loseRun(const RunPtr &Lost, Instant Now);
+  /// Keeps a run that the new incarnation of its upstream may run.
+  void keepAcrossRestart(const RunPtr &Kept, Instant Now);
+
   // Placement (schedulerplacement.cpp)
   std::vector<WaitingStep> waitingSteps(Instant Now);
   bool hasWaitingTask(const StepRecord &Step, Instant Now) const;
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -294,13 +294,13 @@
     if (!this->JobScheduler.upstreams().contains(Report.Id))
       continue; // The entry belongs to an incarnation that has ended.
     auto &Link = this->Links[Report.Id];
-    const bool Replaced =
-        Link &&
-        (Link->report().Address != Report.Address ||
-         (Report.IncarnationStartMs && Link->report().IncarnationStartMs &&
-          Link->report().IncarnationStartMs < Report.IncarnationStartMs));
-    if (Link && !Link->isClosed() && !Replaced)
+    const bool Moved = Link && Link->report().Address != Report.Address;
+    if (Link && !Link->isClosed() && !Moved) {
+      const std::int64_t Known = Link->report().IncarnationStartMs;
+      if (Known && Known < Report.IncarnationStartMs)
+        Link->followRestart(Report.IncarnationStartMs);
       continue;
+    }
     if (Link)
       Link->close();
     Link = std::make_shared<UpstreamLink>(this->Context, Report,
--- a/packages/site/src/upstreamlease.cpp
+++ b/packages/site/src/upstreamlease.cpp
@@ -16,6 +16,8 @@
 /// Fraction of the longest allowed lease that may be requested; the rest covers
 /// upstream clocks that run fast.
 constexpr double MaxLeaseFraction = 0.97;
+/// Longest time from sending a call without an answer until it is executed.
+constexpr seconds MaxCallDelay{12};
 /// Safety margin added to the computed time of expiry.
 constexpr milliseconds ExpiryMargin{300};
 
@@ -36,6 +38,15 @@
          ExpiryMargin;
 }
 
+Duration UpstreamLease::maxTimeToExpiryAfterRestart(const SiteBounds &Bounds) {
+  // On the new clock the lease may be of any length; the upstream shortens it
+  // to the longest one allowed.
+  return MaxCallDelay +
+         Duration(std::int64_t(double(Duration(Bounds.MaxLease).count()) /
+                               SlowestClockRate)) +
+         ExpiryMargin;
+}
+
 void UpstreamLease::recordClock(std::int64_t Clock, Instant Now) {
   this->ClockKnown = true;
   this->ClockMs = Clock;
--- a/packages/site/src/upstreamlease.h
+++ b/packages/site/src/upstreamlease.h
@@ -22,6 +22,11 @@
   /// lease until it has expired.
   static Duration maxTimeToExpiry(const SiteBounds &Bounds);
 
+  /// As maxTimeToExpiry(), for a process that starts again under the same id:
+  /// calls that were sent to the old one may reach it late, and their expiry is
+  /// on the clock of the old one.
+  static Duration maxTimeToExpiryAfterRestart(const SiteBounds &Bounds);
+
   bool clockKnown() const { return this->ClockKnown; }
   /// Records the upstream's clock from an answer that arrived at \p Now.
   void recordClock(std::int64_t ClockMs, Instant Now);
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -59,6 +59,23 @@
   this->Context->SchedulingEvent.notify();
 }
 
+void UpstreamLink::followRestart(std::int64_t IncarnationStartMs) {
+  const Instant Now = this->Context->Clock.now();
+  this->Report.IncarnationStartMs = IncarnationStartMs;
+  this->RestartedAt = Now;
+  ++this->Restarts;
+  this->UnansweredPolls = 0;
+  // Listings that were requested before may not contain what the new process
+  // has accepted since.
+  this->NewestListingSentAt = Now;
+  this->Lease =
+      UpstreamLease(this->Context->Bounds,
+                    std::max(this->Context->InheritedLeasesExpireAt,
+                             Now + UpstreamLease::maxTimeToExpiryAfterRestart(
+                                       this->Context->Bounds)),
+                    Now);
+}
+
 void UpstreamLink::applyAnswer(const PollResponse &Answer, Instant SentAt) {
   const Instant Now = this->Context->Clock.now();
   switch (Answer.Outcome) {
@@ -66,8 +83,11 @@
     const std::int64_t IncarnationStartMs = Answer.Listing.IncarnationStartMs;
     if (IncarnationStartMs && this->Report.IncarnationStartMs &&
         IncarnationStartMs != this->Report.IncarnationStartMs) {
-      this->markLost("another incarnation answers under its id");
-      return;
+      if (SentAt < this->RestartedAt)
+        return; // From the process that has ended.
+      this->Context->JobScheduler.restartUpstream(this->Report.Id,
+                                                  IncarnationStartMs, Now);
+      this->followRestart(IncarnationStartMs);
     }
     this->Report.IncarnationStartMs = IncarnationStartMs
                                           ? IncarnationStartMs
@@ -202,7 +222,10 @@
 }
 
 Async<void> UpstreamLink::sendStop(StopCommand Stop) {
-  while (this->isActive()) {
+  // What the old process acknowledges does not bind the new one: the scheduler
+  // issues stops again for the runs that are left.
+  const int RestartsBefore = this->Restarts;
+  while (this->isActive() && this->Restarts == RestartsBefore) {
     // The ownership may be renewed again, for example after an outage of the
     // table. Without this command the run would count for ever.
     if (!this->Context->Ownership.maySendCommands(this->Context->Clock.now())) {
@@ -211,7 +234,7 @@
     }
     const StopOutcome Outcome = co_await this->Client->stop(
         Stop, this->Context->Ownership.token(), StopTimeout);
-    if (!this->isActive())
+    if (!this->isActive() || this->Restarts != RestartsBefore)
       co_return;
     this->Context->JobScheduler.handleStopOutcome(
         this->Report.Id, Stop.Run, Outcome, this->Context->Clock.now());
--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -39,6 +39,9 @@
   void close() { this->Closed = true; }
   bool isClosed() const { return this->Closed; }
   const UpstreamReport &report() const { return this->Report; }
+  /// Continues with the process that has started again under the same id and
+  /// address. The scheduler must know of it.
+  void followRestart(std::int64_t IncarnationStartMs);
   void send(StartCommand Start);
   void send(StopCommand Stop);
   void send(PaceCommand Pace);
@@ -61,6 +64,8 @@
   UpstreamLease Lease;
   /// When the poll for the newest listing was sent.
   Instant NewestListingSentAt{};
+  int Restarts = 0; ///< Incarnations that have ended since it was created.
+  Instant RestartedAt{};
   int UnansweredPolls = 0; ///< Consecutive polls without an answer.
 };
 
--- /dev/null
+++ b/packages/site/tests/upstreamrestart_test.cpp
@@ -0,0 +1,202 @@
+#include "upstreamlink.h"
+
+#include <doctest/doctest.h>
+
+using namespace sardinerill;
+using namespace sardinerill::site;
+
+/// \file
+/// The link of an upstream whose process starts again under the same id.
+
+namespace {
+
+const UpstreamId Id("u1");
+const RunId FirstRun{{JobId("0123456789abcdef"), 0, 0, 0}, 1};
+
+/// What the upstream answers, set by the test.
+struct Script {
+  ManualClock &Clock;
+  std::int64_t Born = 1;
+  bool Silent = false;
+  Duration SilentPollTime = milliseconds(500);
+  std::vector<ActiveRun> Active;
+  StartOutcome Start = StartOutcome::Accepted;
+  bool StartMayAnswer = true;
+  bool StopMayAnswer = true;
+  std::function<void()> OnPoll = [] {};
+};
+
+class ScriptedClient : public IUpstreamClient {
+public:
+  explicit ScriptedClient(Script &Answers) : Answers(Answers) {}
+  Async<PollResponse> poll(PollRequest, Duration) override {
+    co_await sleepFor(milliseconds(1));
+    this->Answers.Clock.advance(
+        this->Answers.Silent ? this->Answers.SilentPollTime : milliseconds(1));
+    this->Answers.OnPoll();
+    if (this->Answers.Silent)
+      co_return PollResponse{};
+    co_return PollResponse{.Outcome = PollOutcome::Answered,
+                           .Listing = {.ClockMs = 1000,
+                                       .IncarnationStartMs = this->Answers.Born,
+                                       .Active = this->Answers.Active}};
+  }
+  Async<StartOutcome> start(StartCommand, std::int64_t, std::int64_t,
+                            Duration) override {
+    while (!this->Answers.StartMayAnswer)
+      co_await sleepFor(milliseconds(1));
+    co_return this->Answers.Start;
+  }
+  Async<StopOutcome> stop(StopCommand, std::int64_t, Duration) override {
+    while (!this->Answers.StopMayAnswer)
+      co_await sleepFor(milliseconds(1));
+    co_return StopOutcome::Acknowledged;
+  }
+  Async<bool> setPace(PaceCommand, std::int64_t, Duration) override {
+    co_return true;
+  }
+
+private:
+  Script &Answers;
+};
+
+/// One upstream with its link, and a job of one task.
+struct LinkFixture {
+  boost::asio::io_context Context;
+  ManualClock Clock;
+  Script Answers{Clock};
+  Scheduler JobScheduler{SchedulerOptions{}};
+  OwnershipLease Ownership{OwnershipTimings{}, 1, Clock.now()};
+  SiteBounds Bounds{.MaxLease = milliseconds(6000)};
+  AsyncEvent SchedulingEvent{Context.get_executor()};
+  std::shared_ptr<LinkContext> Shared = std::make_shared<LinkContext>(
+      LinkContext{.Executor = Context.get_executor(),
+                  .Clock = Clock,
+                  .JobScheduler = JobScheduler,
+                  .Ownership = Ownership,
+                  .SchedulingEvent = SchedulingEvent,
+                  .Bounds = Bounds});
+  UpstreamReport Report{.Id = Id,
+                        .Pool = PoolId("pool"),
+                        .Address = "127.0.0.1:1",
+                        .IncarnationStartMs = 1,
+                        .Capacity = {8000, 8000, 0}};
+  std::shared_ptr<UpstreamLink> Link;
+
+  LinkFixture() {
+    QueueSettings Queue{.Id = QueueId("q"), .Pool = PoolId("pool")};
+    this->JobScheduler.configure({.Version = 1, .Queues = {Queue}});
+    this->JobScheduler.updateUpstream(this->Report, this->Clock.now());
+    this->JobScheduler.addJob(
+        {.Id = FirstRun.Task.Job,
+         .Queue = Queue,
+         .Steps = {{.Count = 1, .Requested = {1000, 1, 0}}}},
+        std::nullopt, false, this->Clock.now(), this->Clock.now());
+    this->Answers.OnPoll = [this] {
+      this->Ownership.recordRenewal(this->Clock.now());
+    };
+    this->Link = std::make_shared<UpstreamLink>(
+        this->Shared, this->Report,
+        std::make_unique<ScriptedClient>(this->Answers));
+    this->Link->run();
+    this->wait();
+    this->sendCommands();
+  }
+  ~LinkFixture() {
+    this->Shared->Stopped = true;
+    this->Answers.StartMayAnswer = this->Answers.StopMayAnswer = true;
+    this->Context.restart();
+    this->Context.run();
+  }
+
+  /// Lets the link work for some polls.
+  void wait(milliseconds Time = milliseconds(20)) {
+    this->Context.restart();
+    this->Context.run_for(Time);
+  }
+  /// Runs a round of the scheduler and sends its commands through the link.
+  /// \returns the number of stops.
+  int sendCommands() {
+    int Stops = 0;
+    this->JobScheduler.schedule(this->Clock.now(), 0);
+    for (const Command &Each : this->JobScheduler.takeCommands()) {
+      if (const auto *Start = std::get_if<StartCommand>(&Each))
+        this->Link->send(*Start);
+      if (const auto *Stop = std::get_if<StopCommand>(&Each)) {
+        this->Link->send(*Stop);
+        ++Stops;
+      }
+    }
+    return Stops;
+  }
+  int runs() { return this->JobScheduler.loadOf(Id, this->Clock.now()).Runs; }
+};
+
+} // namespace
+
+TEST_CASE("a start that the new process accepts is not forgotten") {
+  // The start reaches the new process before an answer shows the restart. The
+  // link was closed, all runs were dropped, and the outcome went into a record
+  // that did not know the run.
+  LinkFixture Fixture;
+  REQUIRE(Fixture.runs() == 1);
+  SUBCASE("its outcome is known before the restart is") { Fixture.wait(); }
+  SUBCASE("its outcome is known after the restart is") {
+    Fixture.Answers.StartMayAnswer = false;
+    Fixture.wait();
+  }
+  Fixture.Answers.Active = {{.Run = FirstRun}};
+  Fixture.Answers.Born = 2;
+  Fixture.wait();
+  Fixture.Answers.StartMayAnswer = true;
+  Fixture.wait();
+  CHECK(Fixture.runs() == 1);
+  CHECK_FALSE(Fixture.Link->isClosed());
+  Fixture.Answers.Active.clear(); // It ends with the new process.
+  Fixture.Answers.Born = 3;
+  Fixture.wait();
+  CHECK(Fixture.runs() == 0);
+}
+
+TEST_CASE(
+    "a stop that the old process acknowledged does not bar a start at the "
+    "new one") {
+  LinkFixture Fixture;
+  Fixture.Answers.Start = StartOutcome::Unknown;
+  Fixture.Answers.StopMayAnswer = false;
+  Fixture.wait();
+  REQUIRE(Fixture.sendCommands() == 1);
+  Fixture.wait();
+  Fixture.Answers.Born = 2;
+  Fixture.wait();
+  Fixture.Answers.StopMayAnswer = true; // The answer of the old process.
+  Fixture.wait();
+  CHECK(Fixture.runs() == 1);
+  CHECK(Fixture.sendCommands() == 1); // To the new process.
+  Fixture.wait();
+  CHECK(Fixture.runs() == 0);
+}
+
+TEST_CASE(
+    "an upstream that falls silent after a restart is not given up before "
+    "a lease on its old clock has expired") {
+  // A call that was sent to the old process may reach the new one 12 s later,
+  // with an expiry that means the longest lease on the new clock.
+  LinkFixture Fixture;
+  Fixture.wait();
+  Fixture.Answers.Born = 2;
+  Fixture.wait();
+  const Instant RestartKnownAt = Fixture.Clock.now();
+  Fixture.Answers.Silent = true;
+  Instant LostAt{};
+  Fixture.Answers.OnPoll = [&] {
+    Fixture.Ownership.recordRenewal(Fixture.Clock.now());
+    LostAt = Fixture.Clock.now();
+  };
+  Fixture.Answers.SilentPollTime = seconds(4);
+  for (int Round = 0; Round < 40 && !Fixture.Link->isClosed(); ++Round)
+    Fixture.wait(milliseconds(100));
+  CHECK(Fixture.Link->isClosed());
+  CHECK(LostAt - RestartKnownAt > seconds(12) + milliseconds(6122));
+  CHECK(LostAt - RestartKnownAt < seconds(30));
+}
