Runs that a listing names before their job is known are remembered

The second fault that was found by reading, confirmed by test. After a takeover a listing may name runs of a job that the table read lacked. Active runs were ignored, ended ones held back until listed again. When the job was found, all upstreams of its pool counted as answered, so that its tasks were started although the listing had shown them.

Change: each upstream keeps the active runs of unknown jobs and the ends that are held back, as of its newest listing. They are applied when the job is added.

Ruled out: that the next listing always comes first. It comes within a second, a round of the scheduler within 0.1 s.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -149,7 +149,9 @@
           Now);
     this->Inner->LiveJobs.insert(Job->Spec.Id);
   }
-  this->Inner->Jobs[Job->Spec.Id] = std::move(Job);
+  const JobId Id = Job->Spec.Id;
+  this->Inner->Jobs[Id] = std::move(Job);
+  this->Inner->adoptRememberedRuns(Id, Now);
 }
 
 void Scheduler::addEndedJob(const JobId &Job, JobState State, Instant Now) {
@@ -160,6 +162,7 @@
   Existing->Spec.Id = Job;
   Existing->State = State;
   Existing->EndedAt = Now;
+  this->Inner->adoptRememberedRuns(Job, Now);
 }
 
 void Scheduler::cancelJob(const JobId &Id, Instant Now) {
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -116,6 +116,10 @@
   std::map<RunId, RunPtr> Runs;
   std::map<std::int64_t, UnstoredEndedRun> UnstoredEndedRuns;
   std::int64_t LastEndSequence = 0;
+  /// Active runs of unknown jobs in the newest listing.
+  std::vector<ActiveRun> UnknownRuns;
+  /// Ended runs in the newest listing that wait for a job to become known.
+  std::vector<EndedRun> HeldBackEnds;
   Instant ReportedAt{}; ///< First seen in the registry.
   Instant AnsweredAt{};
   Instant UnregisteredAt{};
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -311,6 +311,7 @@
     Listed.insert(Active.Run);
     this->Inner->applyActiveRun(Upstream, Active, Now);
   }
+  this->Inner->rememberUnknownRuns(Upstream, Listing);
   this->Inner->removeUnlistedRuns(Upstream, Listed, SentAt, Now);
   this->Inner->paceBestEffortRuns(Upstream, Now);
 }
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -78,6 +78,11 @@
   void applyEndedRuns(UpstreamRecord &Upstream,
                       const std::vector<EndedRun> &Ends, Instant Now);
 
+  // Runs of jobs that are not known yet (schedulerunknown.cpp)
+  void rememberUnknownRuns(UpstreamRecord &Upstream, const RunListing &Listing);
+  /// Applies what the newest listings say of \p Job, which has been added.
+  void adoptRememberedRuns(const JobId &Job, Instant Now);
+
   // Ended and restarted upstreams (schedulerrestart.cpp)
   /// Drops a run that has ended with its upstream.
   void loseRun(const RunPtr &Lost, Instant Now);
