An inherited job of a queue that was moved waits for every pool

A job that a previous holder may have started waits until all upstreams of its pool have answered. The pool was that of the present configuration; the job may run in the pool that its queue had before.

Change: a queue counts as moved if the pool stored with the job differs from the present one, or if this holder has seen two pools in its configurations. Which pools it had in between is not known, so the job waits for the upstreams of all pools; and what it may use counts against the ceiling of its organisation up to their unanswered capacity. Both end with the leases of previous holders, as before. Jobs of other queues are not delayed.

Open: a queue that was moved there and back before this holder's claim, and one that was moved and then removed, do not count as moved.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -117,6 +117,8 @@
 
 void Scheduler::configure(const SiteConfiguration &Configuration) {
   this->Inner->Configuration = Configuration;
+  for (const QueueSettings &Queue : Configuration.Queues)
+    this->Inner->PoolsOfQueue[Queue.Id].insert(Queue.Pool);
 }
 
 void Scheduler::addJob(JobSpec Spec, const std::optional<JobProgress> &Progress,
--- a/packages/scheduling/src/schedulerinherited.cpp
+++ b/packages/scheduling/src/schedulerinherited.cpp
@@ -58,33 +58,69 @@
   return Sum;
 }
 
+std::set<PoolId> Scheduler::Impl::allPools() const {
+  std::set<PoolId> Pools;
+  for (const auto &[Id, Members] : this->ByPool)
+    Pools.insert(Id);
+  for (const auto &[Id, Capacities] : this->HostedCapacity)
+    Pools.insert(Id);
+  return Pools;
+}
+
+Resources Scheduler::Impl::unansweredCapacity() const {
+  Resources Sum;
+  for (const PoolId &Pool : this->allPools())
+    Sum += this->unansweredCapacity(Pool);
+  return Sum;
+}
+
 void Scheduler::Impl::updateFullyAnsweredPools(Instant Now) {
   this->FullyAnsweredPools.clear();
+  this->AllPoolsAnswered = false;
   this->InheritedRunsExpired = Now >= this->Options.InheritedRunsUntil;
   if (this->InheritedRunsExpired)
     return;
   for (const auto &[Id, Members] : this->ByPool)
     if (!this->hasUnansweredUpstream(Id))
       this->FullyAnsweredPools.insert(Id);
+  this->AllPoolsAnswered =
+      this->VmsListed && !this->ByPool.empty() &&
+      std::ranges::all_of(this->allPools(), [this](const PoolId &Pool) {
+        return this->FullyAnsweredPools.contains(Pool);
+      });
+}
+
+bool Scheduler::Impl::wasMoved(const JobRecord &Job) const {
+  const auto Found = this->PoolsOfQueue.find(Job.Spec.Queue.Id);
+  return Found != this->PoolsOfQueue.end() &&
+         (Found->second.size() > 1 ||
+          !Found->second.contains(Job.Spec.Queue.Pool));
 }
 
 bool Scheduler::Impl::isBlockedByInheritedRuns(const JobRecord &Job,
                                                const PoolId &Pool) const {
-  return Job.Inherited && !this->InheritedRunsExpired &&
-         !this->FullyAnsweredPools.contains(Pool);
+  if (!Job.Inherited || this->InheritedRunsExpired)
+    return false;
+  // Which pools the queue had in between is not known: any may run the job.
+  return this->wasMoved(Job) ? !this->AllPoolsAnswered
+                             : !this->FullyAnsweredPools.contains(Pool);
 }
 
 void Scheduler::Impl::updatePossibleInheritedUse(Instant Now) {
   this->PossibleInheritedUse.clear();
   if (Now >= this->Options.InheritedRunsUntil)
     return;
-  std::map<std::pair<PoolId, OrganisationId>, Resources> PossiblyRunning;
+  // No pool stands for any pool.
+  std::map<std::pair<std::optional<PoolId>, OrganisationId>, Resources>
+      PossiblyRunning;
   for (const JobId &Id : this->LiveJobs) {
     const JobRecord &Job = *this->Jobs.at(Id);
     const PoolId &Pool = this->queueSettingsOf(Job).Pool;
     if (!this->isBlockedByInheritedRuns(Job, Pool))
       continue;
-    Resources &Sum = PossiblyRunning[{Pool, Job.Spec.Organisation}];
+    Resources &Sum = PossiblyRunning[{this->wasMoved(Job) ? std::nullopt
+                                                          : std::optional(Pool),
+                                      Job.Spec.Organisation}];
     for (const auto &[Number, Occurrence] : Job.Occurrences)
       for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
         if (!isReady(Job.Spec, Occurrence, int(Step)))
@@ -103,8 +139,10 @@
   // Bounded by the capacity of the upstreams that have not answered.
   for (const auto &[Key, Sum] : PossiblyRunning)
     this->PossibleInheritedUse[Key.second] +=
-        this->VmsListed ? componentMin(Sum, this->unansweredCapacity(Key.first))
-                        : Sum;
+        this->VmsListed
+            ? componentMin(Sum, Key.first ? this->unansweredCapacity(*Key.first)
+                                          : this->unansweredCapacity())
+            : Sum;
 }
 
 Resources Scheduler::Impl::possibleInheritedUse(
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -119,6 +119,12 @@
   /// \returns the total capacity of the upstreams of \p Pool that have not
   /// answered this holder.
   Resources unansweredCapacity(const PoolId &Pool) const;
+  /// \returns the same of all pools.
+  Resources unansweredCapacity() const;
+  std::set<PoolId> allPools() const;
+  /// \returns whether the queue of \p Job has certainly been moved to another
+  /// pool since the job was accepted, or may have been moved back.
+  bool wasMoved(const JobRecord &Job) const;
   bool isBlockedByInheritedRuns(const JobRecord &Job, const PoolId &Pool) const;
   void updatePossibleInheritedUse(Instant Now);
   Resources possibleInheritedUse(const OrganisationId &Organisation) const;
@@ -160,6 +166,9 @@
   bool InheritedRunsExpired = false;
   /// Pools whose upstreams have all answered; updated in each round.
   std::set<PoolId> FullyAnsweredPools;
+  bool AllPoolsAnswered = false; ///< Updated in each round.
+  /// Pools of each queue in all configurations that were in force here.
+  std::map<QueueId, std::set<PoolId>> PoolsOfQueue;
   std::map<ZoneId, Instant> ZoneAnsweredAt;
   /// Resources requested by all runs, for the ceilings.
   std::map<OrganisationId, Resources> InUse;
