A new holder loads nothing that is older than its claim

After the table has lost its history, reads may be seconds old. A new holder that loads such a state lacks jobs or ends that were stored, and tasks that are done run again.

JobTable::loadAll() fails if any page of any of its reads is older, and the holder tries again. readAll() returns the version of the oldest page instead of the first: a later page may be the older one, and changes are then read from there.

The change feed of a holder that is at work still loads after lost history without this condition: it knows its jobs, and waiting would keep new ones from it.

Test: "jobs are not loaded from a state of the table older than the claim of their progress" makes each read of a load old in turn. With the comparison taken out, every such load succeeds and the test fails.

--- a/packages/site/include/sardinerill/site/istore.h
+++ b/packages/site/include/sardinerill/site/istore.h
@@ -100,7 +100,7 @@
   virtual Async<HttpResponse> relay(HttpRequest Request) = 0;
 };
 
-/// Reads all pages of \p Range.
+/// Reads all pages of \p Range. The version is that of the oldest page.
 Async<Result<RowPage>> readAll(IStore &Store, RowRange Range, Duration Timeout);
 
 } // namespace sardinerill::site
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -188,9 +188,14 @@
       continue;
     }
     const Instant RequestedAt = this->Deps.Clock.now();
-    const auto Stored = co_await this->Deps.Jobs.loadAll();
+    // The head row was claimed at this version. In an older state of the table
+    // jobs may be missing, or ends that previous holders have stored.
+    const auto Stored = co_await this->Deps.Jobs.loadAll(this->HeadVersion);
     if (this->Context->Stopped)
       co_return;
+    if (!Stored)
+      logEvent(LogLevel::Warning, "holder.load_failed",
+               {{"reason", Stored.error().Detail}});
     // Without a recent renewal another daemon may have claimed ownership and
     // may start these jobs too.
     if (!Stored || !this->Ownership.mayAdmitJobs(this->Deps.Clock.now())) {
--- a/packages/site/src/jobtable.cpp
+++ b/packages/site/src/jobtable.cpp
@@ -329,11 +329,23 @@
   }
 }
 
+Async<Result<RowPage>> JobTable::readFresh(RowRange Range,
+                                           std::int64_t AtLeast) {
+  auto Page = co_await readAll(this->Store, std::move(Range), CallTimeout);
+  if (Page && Page->NewestVersion < AtLeast)
+    co_return makeError(ErrorKind::PlatformUnavailable,
+                        "read at version " +
+                            std::to_string(Page->NewestVersion) +
+                            ", older than " + std::to_string(AtLeast));
+  co_return Page;
+}
+
 Async<Result<StoredJobs>> JobTable::loadPartition(std::size_t Index,
-                                                  const StoredJobs &Loaded) {
+                                                  const StoredJobs &Loaded,
+                                                  std::int64_t AtLeast) {
   StoredJobs Partition;
   RowRange Range{std::string(JobsTable), partitionName(Index), "", ""};
-  auto Page = co_await readAll(this->Store, std::move(Range), CallTimeout);
+  auto Page = co_await this->readFresh(std::move(Range), AtLeast);
   if (!Page)
     co_return tl::unexpected(Page.error());
   Partition.Version = Page->NewestVersion;
@@ -351,11 +363,11 @@
   co_return Partition;
 }
 
-Async<Result<StoredJobs>> JobTable::loadAll() {
+Async<Result<StoredJobs>> JobTable::loadAll(std::int64_t AtLeast) {
   StoredJobs Loaded;
   RowRange Range{std::string(ProgressTable), std::string(ProgressPartition), "",
                  ""};
-  auto Progress = co_await readAll(this->Store, std::move(Range), CallTimeout);
+  auto Progress = co_await this->readFresh(std::move(Range), AtLeast);
   if (!Progress)
     co_return tl::unexpected(Progress.error());
   for (const Row &StoredRow : Progress->Rows)
@@ -368,9 +380,10 @@
   auto Finished = std::make_shared<AsyncEvent>(this->Executor);
   for (std::size_t Index = 0; Index < PartitionCount; ++Index)
     spawn(this->Executor, "job-load",
-          [this, Index, &Loaded, &Partitions, &Remaining,
-           Finished]() -> Async<void> {
-            Partitions[Index] = co_await this->loadPartition(Index, Loaded);
+          [this, Index, &Loaded, &Partitions, &Remaining, Finished,
+           AtLeast]() -> Async<void> {
+            Partitions[Index] =
+                co_await this->loadPartition(Index, Loaded, AtLeast);
             if (--Remaining == 0)
               Finished->notify();
           });
--- a/packages/site/src/jobtable.h
+++ b/packages/site/src/jobtable.h
@@ -61,11 +61,15 @@
   Async<Result<void>> cancel(StoredJob Job, Instant Deadline);
 
   /// Loads all jobs, cancellations and progress.
-  Async<Result<StoredJobs>> loadAll();
+  /// \param AtLeast an error is returned if anything was read at an older
+  /// version of the table than this. Reads are old after the table has lost its
+  /// change history.
+  Async<Result<StoredJobs>> loadAll(std::int64_t AtLeast = 0);
   /// Loads the jobs and cancellations of one partition, without the
   /// specifications of jobs that have ended according to \p Loaded.Progress.
   Async<Result<StoredJobs>> loadPartition(std::size_t Index,
-                                          const StoredJobs &Loaded);
+                                          const StoredJobs &Loaded,
+                                          std::int64_t AtLeast);
   /// Waits up to \p Wait for changes after \p Version and advances \p Version.
   Async<Result<std::vector<JobChange>>> waitForChanges(std::int64_t &Version,
                                                        Duration Wait);
@@ -75,6 +79,8 @@
   static RowKey progressKey(const JobId &Job);
 
 private:
+  /// Reads all pages of \p Range, none of them older than \p AtLeast.
+  Async<Result<RowPage>> readFresh(RowRange Range, std::int64_t AtLeast);
   struct Submission;
   struct PartitionQueue;
   /// \returns the time limit of a call for a caller that leaves at \p Deadline.
--- a/packages/site/src/store.cpp
+++ b/packages/site/src/store.cpp
@@ -1,5 +1,7 @@
 #include "sardinerill/site/istore.h"
 
+#include <algorithm>
+
 namespace sardinerill::site {
 
 Async<Result<RowPage>> readAll(IStore &Store, RowRange Range,
@@ -11,10 +13,12 @@
     if (!Page)
       co_return tl::unexpected(Page.error());
     // Later pages may contain newer rows, and changes made since the first page
-    // may be missing. With the first page's version the caller reads them
-    // again.
-    if (std::exchange(IsFirst, false))
-      AllRows.NewestVersion = Page->NewestVersion;
+    // may be missing; or they are older, if the table has lost its history.
+    // From the oldest page's version the caller reads all changes again.
+    AllRows.NewestVersion =
+        std::exchange(IsFirst, false)
+            ? Page->NewestVersion
+            : std::min(AllRows.NewestVersion, Page->NewestVersion);
     More = Page->HasMore && !Page->Rows.empty();
     // The next possible key, provided that keys contain no character below '!'.
     if (More)
--- a/packages/site/tests/fakestore.h
+++ b/packages/site/tests/fakestore.h
@@ -43,8 +43,9 @@
   Async<Result<RowPage>> read(RowRange Range, Duration) override {
     if (this->nextFault() != CallFault::None)
       co_return makeError(ErrorKind::PlatformUnavailable, "busy");
-    RowPage Page{.NewestVersion = this->Version};
-    for (const auto &[Key, StoredRow] : this->Rows)
+    const bool IsOld = ++this->Reads == this->OldRead;
+    RowPage Page{.NewestVersion = IsOld ? this->OldVersion : this->Version};
+    for (const auto &[Key, StoredRow] : IsOld ? this->OldRows : this->Rows)
       if (Key.Table == Range.Table && Key.Partition == Range.Partition &&
           Key.Key >= Range.From && (Range.To.empty() || Key.Key < Range.To)) {
         if (Page.Rows.size() >= this->PageSize) {
@@ -100,6 +101,13 @@
     return Outcome;
   }
 
+  /// Keeps the present state for a read that is old; see OldRead.
+  void keepOldState() {
+    this->OldRows = this->Rows;
+    this->OldVersion = this->Version;
+    this->Reads = 0;
+  }
+
   void applyLate() {
     for (const Transaction &Change : std::exchange(this->LateTransactions, {}))
       this->apply(Change);
@@ -109,6 +117,10 @@
   std::int64_t Version = 0;
   std::deque<CallFault> Faults; ///< Faults of the next calls, in order.
   std::vector<Transaction> LateTransactions;
+  std::map<RowKey, Row> OldRows;
+  std::int64_t OldVersion = 0;
+  int Reads = 0;
+  int OldRead = 0; ///< Number, from 1, of a read that returns the old state.
   std::size_t PageSize = 500;
   int Transactions = 0;
   bool Reachable = true;
--- a/packages/site/tests/jobtable_test.cpp
+++ b/packages/site/tests/jobtable_test.cpp
@@ -1,6 +1,7 @@
 #include "fakestore.h"
 #include "jobtable.h"
 #include "sardinerill/site/storereachability.h"
+#include "unixtime.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -123,6 +124,45 @@
   CHECK(Fixture.load()->Changes.size() == 1);
 }
 
+TEST_CASE("jobs are not loaded from a state of the table older than the claim "
+          "of their progress") {
+  // Reads may be seconds old after the table has lost its history. Jobs or
+  // their ends were missing then, and tasks that were done ran again.
+  JobTableFixture Fixture;
+  Fixture.Store.PageSize = 2;
+  for (int Index = 0; Index < 20; ++Index)
+    REQUIRE(Fixture.accept("job" + std::to_string(Index)).has_value());
+  Fixture.Store.keepOldState();
+  Transaction End;
+  for (int Index = 0; Index < 5; ++Index)
+    End.Writes.push_back(
+        {JobTable::progressKey(JobId("job" + std::to_string(Index))),
+         encodeProgress({.State = JobState::Completed})});
+  Fixture.Store.apply(End);
+  REQUIRE(Fixture.accept("last").has_value());
+  Transaction Claim;
+  Claim.Writes.push_back({progressHeadKey(), "claim"});
+  const std::int64_t ClaimedAt = Fixture.Store.apply(Claim).Version;
+  const auto Load = [&] {
+    return runToEnd<Result<StoredJobs>>(
+        Fixture.Context, [&] { return Fixture.Jobs.loadAll(ClaimedAt); });
+  };
+  REQUIRE(Load().has_value());
+  const int ReadsOfOneLoad = Fixture.Store.Reads;
+  REQUIRE(ReadsOfOneLoad > 11); // Progress and some partitions have pages.
+  for (int Old = 1; Old <= ReadsOfOneLoad; ++Old) {
+    CAPTURE(Old);
+    Fixture.Store.Reads = 0;
+    Fixture.Store.OldRead = Old;
+    CHECK_FALSE(Load().has_value());
+  }
+  Fixture.Store.OldRead = 0;
+  const auto Fresh = Load();
+  REQUIRE(Fresh.has_value());
+  CHECK(Fresh->Changes.size() == 21);
+  CHECK(Fresh->Progress.size() == 5);
+}
+
 TEST_CASE("an encoded job change keeps version and specification, an "
           "incomplete one is rejected") {
   JobChange Change{.Job = JobId("a"), .Version = 9};
