An old read of the table does not bound the jobs that a holder accepted

Jobs stored after the version of a read, sent when the holder had stopped accepting any, count as never started. If that read returns an old state, its version is too low: jobs that the holder had started count as new, and run twice.

Change: a read that is older than a version which this daemon has seen, in an earlier read of the row or in any answer of the table, does not set the bound; a later one does.

Open: a daemon that has seen no newer version can't tell that a read is old. Only a transaction would prove it; the bound would then have to come from one.

--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -117,9 +117,11 @@
   /// Handles a successful read of the row.
   /// \param TableVersion newest version of the whole table at the time of the
   /// reply; 0 if unknown.
+  /// \param KnownVersion newest version of the table that this daemon had seen
+  /// when it sent the read. A read may be seconds old.
   void observe(std::int64_t ReadVersion, const OwnershipRow &ReadRow,
                Instant RequestedAt, Instant RepliedAt,
-               std::int64_t TableVersion = 0);
+               std::int64_t TableVersion = 0, std::int64_t KnownVersion = 0);
   /// Handles a successful read that found no row.
   void observeMissingRow();
   /// Records that process \p Incarnation has ended, because another process
@@ -169,6 +171,7 @@
   bool HolderEnded = false;
   HolderContact Contact = HolderContact::Unknown;
   std::int64_t LastInheritedVersion = 0;
+  std::int64_t NewestTableVersion = 0; ///< That any read has shown.
   /// When the current row version was first read.
   Instant FirstSeenAt{};
   /// Upper bound for the commands of holders before the one in the row.
--- a/packages/ownership/src/ownership.cpp
+++ b/packages/ownership/src/ownership.cpp
@@ -50,7 +50,11 @@
 void OwnershipObserver::observe(std::int64_t ReadVersion,
                                 const OwnershipRow &ReadRow,
                                 Instant RequestedAt, Instant RepliedAt,
-                                std::int64_t TableVersion) {
+                                std::int64_t TableVersion,
+                                std::int64_t KnownVersion) {
+  const bool IsOld =
+      TableVersion < std::max(this->NewestTableVersion, KnownVersion);
+  this->NewestTableVersion = std::max(this->NewestTableVersion, TableVersion);
   if (this->HasRead && ReadVersion < this->Version)
     return; // Stale: a newer version was already read.
   const bool Changed = !this->HasRead || ReadVersion != this->Version;
@@ -71,11 +75,12 @@
     this->LastInheritedVersion = 0;
   }
   // The holder accepts no job that is stored after the table version of this
-  // read, because it had stopped accepting jobs when the read was sent.
+  // read, because it had stopped accepting jobs when the read was sent. A read
+  // that returned an old state does not show which jobs it had accepted.
   const bool AcceptanceEnded =
       ReadRow.Leaving ||
       RequestedAt >= this->FirstSeenAt + this->Timings.AcceptanceWindow;
-  if (this->LastInheritedVersion == 0 && AcceptanceEnded)
+  if (this->LastInheritedVersion == 0 && AcceptanceEnded && !IsOld)
     this->LastInheritedVersion = TableVersion;
   this->HasRead = true;
   this->Version = ReadVersion;
--- a/packages/ownership/tests/ownership_test.cpp
+++ b/packages/ownership/tests/ownership_test.cpp
@@ -127,6 +127,27 @@
   CHECK(Observer.lastInheritedVersion() == 150);
 }
 
+TEST_CASE("an old read of the table does not tell which jobs the holder has "
+          "accepted") {
+  // Reads may be seconds old after the table has lost its history. Jobs that
+  // the holder had started counted as never started, and ran twice.
+  OwnershipObserver Observer{OwnershipTimings{}};
+  Observer.observe(7, Row, at(0), at(5), 100);
+  SUBCASE("older than an earlier read of the row") {
+    Observer.observe(7, Row, at(500), at(505), 130);
+    Observer.observe(7, Row, at(1500), at(1505), 110);
+    CHECK(Observer.lastInheritedVersion() == 0);
+    Observer.observe(7, Row, at(2000), at(2005), 140);
+    CHECK(Observer.lastInheritedVersion() == 140);
+  }
+  SUBCASE("older than what the daemon has seen elsewhere") {
+    Observer.observe(7, Row, at(1500), at(1505), 110, 120);
+    CHECK(Observer.lastInheritedVersion() == 0);
+    Observer.observe(7, Row, at(2000), at(2005), 120, 120);
+    CHECK(Observer.lastInheritedVersion() == 120);
+  }
+}
+
 TEST_CASE("property: the holder accepts no job stored after the observed end "
           "of acceptance") {
   CHECK(rc::check([] {
--- a/packages/site/src/ownershipmanager.cpp
+++ b/packages/site/src/ownershipmanager.cpp
@@ -149,6 +149,7 @@
 
 Async<void> OwnershipManager::checkRow() {
   const Instant RequestedAt = this->Deps.Clock.now();
+  const std::int64_t KnownVersion = this->Deps.Store.newestVersion();
   RowRange Range{ownershipKey().Table, ownershipKey().Partition};
   const auto Page =
       co_await this->Deps.Store.read(std::move(Range), CallTimeout);
@@ -166,7 +167,8 @@
     this->Observer.observeMissingRow();
   } else if (const auto Decoded = decodeOwnership(SiteRow->Value)) {
     this->Observer.observe(SiteRow->Version, *Decoded, RequestedAt,
-                           this->Deps.Clock.now(), Page->NewestVersion);
+                           this->Deps.Clock.now(), Page->NewestVersion,
+                           KnownVersion);
     if (Decoded->Incarnation == this->Incarnation && !Decoded->Released &&
         EpochRow && !this->IsLeaving) {
       // An earlier claim with an unknown outcome was applied.
--- a/packages/site/tests/fakestore.h
+++ b/packages/site/tests/fakestore.h
@@ -72,6 +72,7 @@
            (this->MaxReachableTransactions < 0 ||
             this->Transactions < this->MaxReachableTransactions);
   }
+  std::int64_t newestVersion() const override { return this->Version; }
   Async<HttpResponse> relay(HttpRequest) override {
     co_return HttpResponse{.Status = 503};
   }
