A run that is beyond the limit of a listing has not vanished

The protocol limits a listing to 500 ended runs; the others are listed when these are acknowledged, which may last while the table is away. A run that ended but was not among the 500 was taken for vanished, and its task, which was done, ran again.

Change: the limit has a name, MaxListedEnds, and a listing that reaches it says nothing about runs that it does not contain.

Test: incompletelisting_test.cpp; before the change the last of 501 tasks is started again.

--- a/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
+++ b/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
@@ -178,6 +178,9 @@
   friend bool operator==(const EndedRun &, const EndedRun &) = default;
 };
 
+/// Ended runs that one listing contains at most.
+constexpr std::size_t MaxListedEnds = 500;
+
 /// Active and ended runs, as listed by an upstream.
 struct RunListing {
   std::int64_t ClockMs = 0; ///< Steady clock of the upstream.
@@ -185,6 +188,10 @@
       0; ///< Start of this incarnation, in ms since 1970.
   std::vector<ActiveRun> Active;
   std::vector<EndedRun> Ended;
+
+  /// \returns whether no ended run was left out for the limit. Otherwise it
+  /// says nothing about runs that it does not contain.
+  bool isComplete() const { return this->Ended.size() < MaxListedEnds; }
 };
 
 /// Registry entry of an upstream.
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -312,7 +312,8 @@
     this->Inner->applyActiveRun(Upstream, Active, Now);
   }
   this->Inner->rememberUnknownRuns(Upstream, Listing);
-  this->Inner->removeUnlistedRuns(Upstream, Listed, SentAt, Now);
+  if (Listing.isComplete())
+    this->Inner->removeUnlistedRuns(Upstream, Listed, SentAt, Now);
   this->Inner->paceBestEffortRuns(Upstream, Now);
 }
 
