A process that started again is asked for its runs at once

The link that stays open waited for the poll to the old process, up to 1.6 s if that was cut off, and then counted it as silence of the new one.

Change: followRestart() sends a poll beside the one under way, and the end of a poll that was sent before the restart was known does not count.

--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -60,6 +60,13 @@
 }
 
 void UpstreamLink::followRestart(std::int64_t IncarnationStartMs) {
+  this->adoptIncarnation(IncarnationStartMs);
+  // The poll under way was sent to the process that has ended.
+  spawn(this->Context->Executor, "upstream-poll",
+        [Self = this->shared_from_this()] { return Self->pollOnce(); });
+}
+
+void UpstreamLink::adoptIncarnation(std::int64_t IncarnationStartMs) {
   const Instant Now = this->Context->Clock.now();
   this->Report.IncarnationStartMs = IncarnationStartMs;
   this->RestartedAt = Now;
@@ -87,7 +94,7 @@
         return; // From the process that has ended.
       this->Context->JobScheduler.restartUpstream(this->Report.Id,
                                                   IncarnationStartMs, Now);
-      this->followRestart(IncarnationStartMs);
+      this->adoptIncarnation(IncarnationStartMs);
     }
     this->Report.IncarnationStartMs = IncarnationStartMs
                                           ? IncarnationStartMs
@@ -122,6 +129,8 @@
   // active.
   case PollOutcome::Refused:
   case PollOutcome::NoAnswer:
+    if (SentAt < this->RestartedAt)
+      return; // Says nothing about the new process.
     ++this->UnansweredPolls;
     if (this->UnansweredPolls == MaxUnansweredPolls)
       logEvent(LogLevel::Warning, "upstream.silent",
@@ -249,7 +258,12 @@
 Async<void> UpstreamLink::fetchListing() {
   // A run that was stopped before it began is not listed as ended, so the
   // pending long poll would report it only when its wait time is over.
-  if (!this->isActive() || !this->Lease.clockKnown() ||
+  if (this->Lease.clockKnown())
+    co_await this->pollOnce();
+}
+
+Async<void> UpstreamLink::pollOnce() {
+  if (!this->isActive() ||
       !this->Context->Ownership.maySendCommands(this->Context->Clock.now()))
     co_return;
   const Instant SentAt = this->Context->Clock.now();
--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -40,7 +40,7 @@
   bool isClosed() const { return this->Closed; }
   const UpstreamReport &report() const { return this->Report; }
   /// Continues with the process that has started again under the same id and
-  /// address. The scheduler must know of it.
+  /// address, and asks it for a listing at once. The scheduler must know of it.
   void followRestart(std::int64_t IncarnationStartMs);
   void send(StartCommand Start);
   void send(StopCommand Stop);
@@ -52,7 +52,9 @@
   Async<void> sendStart(StartCommand Start);
   Async<void> sendStop(StopCommand Stop);
   Async<void> fetchListing();
+  Async<void> pollOnce();
   Async<void> sendPace(PaceCommand Pace);
+  void adoptIncarnation(std::int64_t IncarnationStartMs);
   void applyAnswer(const PollResponse &Answer, Instant SentAt);
   bool isActive() const;
   void markLost(std::string_view Reason);
--- a/packages/site/tests/upstreamrestart_test.cpp
+++ b/packages/site/tests/upstreamrestart_test.cpp
@@ -18,6 +18,7 @@
   ManualClock &Clock;
   std::int64_t Born = 1;
   bool Silent = false;
+  bool NextPollHangs = false;
   Duration SilentPollTime = milliseconds(500);
   std::vector<ActiveRun> Active;
   StartOutcome Start = StartOutcome::Accepted;
@@ -31,6 +32,10 @@
   explicit ScriptedClient(Script &Answers) : Answers(Answers) {}
   Async<PollResponse> poll(PollRequest, Duration) override {
     co_await sleepFor(milliseconds(1));
+    if (std::exchange(this->Answers.NextPollHangs, false)) {
+      co_await sleepFor(milliseconds(100));
+      co_return PollResponse{};
+    }
     this->Answers.Clock.advance(
         this->Answers.Silent ? this->Answers.SilentPollTime : milliseconds(1));
     this->Answers.OnPoll();
@@ -177,6 +182,24 @@
   CHECK(Fixture.runs() == 0);
 }
 
+TEST_CASE(
+    "the new process is asked at once while a poll to the old one hangs") {
+  // The registry shows the restart of a process that was cut off. A poll that
+  // is under way may last 1.6 s more, and its end is no silence of the new one.
+  LinkFixture Fixture;
+  Fixture.Answers.NextPollHangs = true;
+  Fixture.wait();
+  Fixture.Answers.Born = 2;
+  UpstreamReport Restarted = Fixture.Report;
+  Restarted.IncarnationStartMs = 2;
+  Fixture.JobScheduler.updateUpstream(Restarted, Fixture.Clock.now());
+  REQUIRE_FALSE(Fixture.JobScheduler.loadOf(Id, Fixture.Clock.now()).Fresh);
+  Fixture.Link->followRestart(2);
+  Fixture.wait();
+  CHECK(Fixture.JobScheduler.loadOf(Id, Fixture.Clock.now()).Fresh);
+  CHECK_FALSE(Fixture.Link->isClosed());
+}
+
 TEST_CASE(
     "an upstream that falls silent after a restart is not given up before "
     "a lease on its old clock has expired") {
