--- a/packages/scheduling/src/schedulercrashes.cpp
+++ b/packages/scheduling/src/schedulercrashes.cpp
@@ -131,30 +131,38 @@
   });
 }
 
+std::vector<TaskId> Scheduler::Impl::attributeEnd(UpstreamRecord &Upstream,
+                                                  Instant Now) {
+  const bool Planned =
+      Upstream.Report.Draining || Upstream.Cordoned || Upstream.TakedownPending;
+  return Upstream.Answered && !Planned ? this->attributeCrash(Upstream, Now)
+                                       : std::vector<TaskId>();
+}
+
+void Scheduler::Impl::endGivenUpJobs(const std::vector<TaskId> &GivenUp,
+                                     const UpstreamId &Id, Instant Now) {
+  for (const TaskId &Task : GivenUp) {
+    JobRecord &Job = *this->job(Task.Job);
+    if (Job.ended())
+      continue;
+    ++this->Counts.GivenUpJobs;
+    const int Crashes = this->task(Task)->Crashes.Crashes;
+    this->endJob(Job, JobState::Failed,
+                 "task " + describe(Task) + " crashed " +
+                     std::to_string(Crashes) + " upstreams, the last one " +
+                     Id.str(),
+                 Now);
+  }
+}
+
 void Scheduler::removeEndedUpstream(const UpstreamId &Id,
                                     std::string_view Reason, Instant Now) {
   std::vector<TaskId> GivenUp;
   if (const auto Found = this->Inner->Upstreams.find(Id);
-      Found != this->Inner->Upstreams.end()) {
-    UpstreamRecord &Upstream = *Found->second;
-    const bool Planned = Upstream.Report.Draining || Upstream.Cordoned ||
-                         Upstream.TakedownPending;
-    if (Upstream.Answered && !Planned)
-      GivenUp = this->Inner->attributeCrash(Upstream, Now);
-  }
+      Found != this->Inner->Upstreams.end())
+    GivenUp = this->Inner->attributeEnd(*Found->second, Now);
   this->removeUpstream(Id, Reason, Now);
-  for (const TaskId &Task : GivenUp) {
-    JobRecord &Job = *this->Inner->job(Task.Job);
-    if (Job.ended())
-      continue;
-    ++this->Inner->Counts.GivenUpJobs;
-    const int Crashes = this->Inner->task(Task)->Crashes.Crashes;
-    this->Inner->endJob(Job, JobState::Failed,
-                        "task " + describe(Task) + " crashed " +
-                            std::to_string(Crashes) +
-                            " upstreams, the last one " + Id.str(),
-                        Now);
-  }
+  this->Inner->endGivenUpJobs(GivenUp, Id, Now);
 }
 
 void Scheduler::retireEndedUpstreams(const std::vector<VmRecord> &Vms,
--- a/packages/scheduling/src/schedulerinherited.cpp
+++ b/packages/scheduling/src/schedulerinherited.cpp
@@ -80,20 +80,59 @@
   return Sum;
 }
 
+std::set<PoolId> Scheduler::Impl::allPools() const {
+  std::set<PoolId> Pools;
+  for (const auto &[Id, Members] : this->ByPool)
+    Pools.insert(Id);
+  for (const auto &[Id, Capacities] : this->HostedCapacity)
+    Pools.insert(Id);
+  return Pools;
+}
+
+Resources Scheduler::Impl::unansweredCapacity() const {
+  Resources Sum;
+  for (const PoolId &Pool : this->allPools())
+    Sum += this->unansweredCapacity(Pool);
+  return Sum;
+}
+
 void Scheduler::Impl::updateFullyAnsweredPools(Instant Now) {
   this->FullyAnsweredPools.clear();
+  this->AllPoolsAnswered = false;
   this->InheritedRunsExpired = Now >= this->Options.InheritedRunsUntil;
   if (this->InheritedRunsExpired)
     return;
   for (const auto &[Id, Members] : this->ByPool)
     if (!this->hasUnansweredUpstream(Id))
       this->FullyAnsweredPools.insert(Id);
+  this->AllPoolsAnswered =
+      this->VmsListed && !this->ByPool.empty() &&
+      std::ranges::all_of(this->allPools(), [this](const PoolId &Pool) {
+        return this->FullyAnsweredPools.contains(Pool);
+      });
+}
+
+bool Scheduler::Impl::wasMoved(const JobRecord &Job) const {
+  const auto Found = this->PoolsOfQueue.find(Job.Spec.Queue.Id);
+  return Found != this->PoolsOfQueue.end() &&
+         (Found->second.size() > 1 ||
+          !Found->second.contains(Job.Spec.Queue.Pool));
 }
 
 bool Scheduler::Impl::isBlockedByInheritedRuns(const JobRecord &Job,
                                                const PoolId &Pool) const {
-  return Job.Inherited && !this->InheritedRunsExpired &&
-         !this->FullyAnsweredPools.contains(Pool);
+  if (!Job.Inherited || this->InheritedRunsExpired)
+    return false;
+  // Which pools the queue had in between is not known: any may run the job.
+  return this->wasMoved(Job) ? !this->AllPoolsAnswered
+                             : !this->FullyAnsweredPools.contains(Pool);
+}
+
+std::optional<PoolId>
+Scheduler::Impl::poolOfInheritedRuns(const JobRecord &Job) const {
+  if (this->wasMoved(Job))
+    return std::nullopt;
+  return this->queueSettingsOf(Job).Pool;
 }
 
 PossibleUse Scheduler::Impl::possibleUseOf(const JobRecord &Job) const {
@@ -116,10 +155,10 @@
 }
 
 void Scheduler::Impl::recordInheritedEnd(const JobRecord &Job) {
-  const PoolId &Pool = this->queueSettingsOf(Job).Pool;
-  if (this->isBlockedByInheritedRuns(Job, Pool))
-    this->EndedInheritedJobs.push_back(
-        {Pool, Job.Spec.Organisation, this->possibleUseOf(Job)});
+  if (this->isBlockedByInheritedRuns(Job, this->queueSettingsOf(Job).Pool))
+    this->EndedInheritedJobs.push_back({this->poolOfInheritedRuns(Job),
+                                        Job.Spec.Organisation,
+                                        this->possibleUseOf(Job)});
 }
 
 void Scheduler::Impl::updatePossibleInheritedUse(Instant Now) {
@@ -128,8 +167,11 @@
     this->EndedInheritedJobs.clear();
     return;
   }
-  std::map<std::pair<PoolId, OrganisationId>, Resources> PossiblyRunning;
-  const auto Add = [&](const PoolId &Pool, const OrganisationId &Organisation,
+  // No pool stands for any pool.
+  std::map<std::pair<std::optional<PoolId>, OrganisationId>, Resources>
+      PossiblyRunning;
+  const auto Add = [&](const std::optional<PoolId> &Pool,
+                       const OrganisationId &Organisation,
                        const PossibleUse &Use) {
     PossiblyRunning[{Pool, Organisation}] += Use.Reserved;
     // Best-effort tasks reserve no CPU, so the capacity does not limit them.
@@ -137,18 +179,21 @@
   };
   for (const JobId &Id : this->LiveJobs) {
     const JobRecord &Job = *this->Jobs.at(Id);
-    const PoolId &Pool = this->queueSettingsOf(Job).Pool;
-    if (this->isBlockedByInheritedRuns(Job, Pool))
-      Add(Pool, Job.Spec.Organisation, this->possibleUseOf(Job));
+    if (this->isBlockedByInheritedRuns(Job, this->queueSettingsOf(Job).Pool))
+      Add(this->poolOfInheritedRuns(Job), Job.Spec.Organisation,
+          this->possibleUseOf(Job));
   }
   for (const EndedInheritedJob &Ended : this->EndedInheritedJobs)
-    if (!this->FullyAnsweredPools.contains(Ended.Pool))
+    if (Ended.Pool ? !this->FullyAnsweredPools.contains(*Ended.Pool)
+                   : !this->AllPoolsAnswered)
       Add(Ended.Pool, Ended.Organisation, Ended.Use);
   // Bounded by the capacity of the upstreams that have not answered.
   for (const auto &[Key, Sum] : PossiblyRunning)
     this->PossibleInheritedUse[Key.second] +=
-        this->VmsListed ? componentMin(Sum, this->unansweredCapacity(Key.first))
-                        : Sum;
+        this->VmsListed
+            ? componentMin(Sum, Key.first ? this->unansweredCapacity(*Key.first)
+                                          : this->unansweredCapacity())
+            : Sum;
 }
 
 Resources Scheduler::Impl::possibleInheritedUse(
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -38,6 +38,7 @@
   /// The stop only bars a start that may be carried out late. It is withdrawn
   /// if the run is found at work.
   bool StopOnlyBars = false;
+  bool Listed = false; ///< The present incarnation has listed it as active.
   bool StoppedAsStuck = false; ///< Not used.
   int Percent = 0;
   Instant ProgressAt{};              ///< Last change of the percentage.
@@ -123,6 +124,10 @@
   std::map<RunId, RunPtr> Runs;
   std::map<std::int64_t, UnstoredEndedRun> UnstoredEndedRuns;
   std::int64_t LastEndSequence = 0;
+  /// Active runs of unknown jobs in the newest listing.
+  std::vector<ActiveRun> UnknownRuns;
+  /// Ended runs in the newest listing that wait for a job to become known.
+  std::vector<EndedRun> HeldBackEnds;
   Instant ReportedAt{}; ///< First seen in the registry.
   Instant AnsweredAt{};
   Instant UnregisteredAt{};
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -238,6 +238,7 @@
     if (Redundant)
       this->requestStop(Known);
   }
+  Known->Listed = true;
   this->settle(Upstream, Known, Now);
   if (Listed.ProgressPercent != Known->Percent)
     Known->ProgressAt = Now;
@@ -334,7 +335,9 @@
     Listed.insert(Active.Run);
     this->Inner->applyActiveRun(Upstream, Active, Now);
   }
-  this->Inner->removeUnlistedRuns(Upstream, Listed, SentAt, Now);
+  this->Inner->rememberUnknownRuns(Upstream, Listing);
+  if (Listing.isComplete())
+    this->Inner->removeUnlistedRuns(Upstream, Listed, SentAt, Now);
   this->Inner->paceBestEffortRuns(Upstream, Now);
 }
 
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -54,7 +54,7 @@
 /// An inherited job that ended while some upstreams had not answered. Its runs
 /// there go on until their leases expire.
 struct EndedInheritedJob {
-  PoolId Pool;
+  std::optional<PoolId> Pool; ///< Unset: it may run in any pool.
   OrganisationId Organisation;
   PossibleUse Use;
 };
@@ -102,6 +102,11 @@
   /// Suspects the tasks that had just begun on \p Upstream.
   /// \returns those that have crashed too many upstreams to be started again.
   std::vector<TaskId> attributeCrash(UpstreamRecord &Upstream, Instant Now);
+  /// The same for a process that has ended; nothing if that was planned.
+  std::vector<TaskId> attributeEnd(UpstreamRecord &Upstream, Instant Now);
+  /// Ends the jobs of \p GivenUp, whose last upstream was \p Id.
+  void endGivenUpJobs(const std::vector<TaskId> &GivenUp, const UpstreamId &Id,
+                      Instant Now);
   /// \returns whether another upstream of the rack ended at about the same
   /// time, or several are out of contact.
   bool isRackFailing(const UpstreamRecord &Upstream, Instant Now) const;
@@ -110,6 +115,17 @@
   /// \returns whether another run of the job is on probation.
   bool hasRunOnProbation(const JobRecord &Job) const;
 
+  // Runs of jobs that are not known yet (schedulerunknown.cpp)
+  void rememberUnknownRuns(UpstreamRecord &Upstream, const RunListing &Listing);
+  /// Applies what the newest listings say of \p Job, which has been added.
+  void adoptRememberedRuns(const JobId &Job, Instant Now);
+
+  // Ended and restarted upstreams (schedulerrestart.cpp)
+  /// Drops a run that has ended with its upstream.
+  void loseRun(const RunPtr &Lost, Instant Now);
+  /// Keeps a run that the new incarnation of its upstream may run.
+  void keepAcrossRestart(const RunPtr &Kept, Instant Now);
+
   // Placement (schedulerplacement.cpp)
   std::vector<WaitingStep> waitingSteps(Instant Now, std::int64_t UnixMs);
   bool hasWaitingTask(const StepRecord &Step, Instant Now) const;
@@ -143,6 +159,15 @@
   /// \returns the total capacity of the upstreams of \p Pool that have not
   /// answered this holder.
   Resources unansweredCapacity(const PoolId &Pool) const;
+  /// \returns the same of all pools.
+  Resources unansweredCapacity() const;
+  std::set<PoolId> allPools() const;
+  /// \returns whether the queue of \p Job has certainly been moved to another
+  /// pool since the job was accepted, or may have been moved back.
+  bool wasMoved(const JobRecord &Job) const;
+  /// \returns the pool in which an earlier holder may have started \p Job, or
+  /// nothing if it may be any.
+  std::optional<PoolId> poolOfInheritedRuns(const JobRecord &Job) const;
   bool isBlockedByInheritedRuns(const JobRecord &Job, const PoolId &Pool) const;
   /// \returns what \p Job may have running on upstreams that have not answered.
   PossibleUse possibleUseOf(const JobRecord &Job) const;
@@ -188,6 +213,9 @@
   bool InheritedRunsExpired = false;
   /// Pools whose upstreams have all answered; updated in each round.
   std::set<PoolId> FullyAnsweredPools;
+  bool AllPoolsAnswered = false; ///< Updated in each round.
+  /// Pools of each queue in all configurations that were in force here.
+  std::map<QueueId, std::set<PoolId>> PoolsOfQueue;
   std::map<ZoneId, Instant> ZoneAnsweredAt;
   /// Resources requested by all runs, for the ceilings.
   std::map<OrganisationId, Resources> InUse;
--- a/packages/site/include/sardinerill/site/istore.h
+++ b/packages/site/include/sardinerill/site/istore.h
@@ -96,11 +96,13 @@
   /// \returns whether calls can be expected to succeed, directly or through a
   /// relay.
   virtual bool reachable() const = 0;
+  /// \returns the newest version of the store that any answer has shown.
+  virtual std::int64_t newestVersion() const = 0;
   /// Forwards a call of another daemon to the store unchanged.
   virtual Async<HttpResponse> relay(HttpRequest Request) = 0;
 };
 
-/// Reads all pages of \p Range.
+/// Reads all pages of \p Range. The version is that of the oldest page.
 Async<Result<RowPage>> readAll(IStore &Store, RowRange Range, Duration Timeout);
 
 } // namespace sardinerill::site
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -190,9 +190,14 @@
       continue;
     }
     const Instant RequestedAt = this->Deps.Clock.now();
-    const auto Stored = co_await this->Deps.Jobs.loadAll();
+    // The head row was claimed at this version. In an older state of the table
+    // jobs may be missing, or ends that previous holders have stored.
+    const auto Stored = co_await this->Deps.Jobs.loadAll(this->HeadVersion);
     if (this->Context->Stopped)
       co_return;
+    if (!Stored)
+      logEvent(LogLevel::Warning, "holder.load_failed",
+               {{"reason", Stored.error().Detail}});
     // Without a recent renewal another daemon may have claimed ownership and
     // may start these jobs too.
     if (!Stored || !this->Ownership.mayAdmitJobs(this->Deps.Clock.now())) {
@@ -296,13 +301,13 @@
     if (!this->JobScheduler.upstreams().contains(Report.Id))
       continue; // The entry belongs to an incarnation that has ended.
     auto &Link = this->Links[Report.Id];
-    const bool Replaced =
-        Link &&
-        (Link->report().Address != Report.Address ||
-         (Report.IncarnationStartMs && Link->report().IncarnationStartMs &&
-          Link->report().IncarnationStartMs < Report.IncarnationStartMs));
-    if (Link && !Link->isClosed() && !Replaced)
+    const bool Moved = Link && Link->report().Address != Report.Address;
+    if (Link && !Link->isClosed() && !Moved) {
+      const std::int64_t Known = Link->report().IncarnationStartMs;
+      if (Known && Known < Report.IncarnationStartMs)
+        Link->followRestart(Report.IncarnationStartMs);
       continue;
+    }
     if (Link)
       Link->close();
     Link = std::make_shared<UpstreamLink>(this->Context, Report,
--- a/packages/site/src/ownershipmanager.cpp
+++ b/packages/site/src/ownershipmanager.cpp
@@ -149,6 +149,7 @@
 
 Async<void> OwnershipManager::checkRow() {
   const Instant RequestedAt = this->Deps.Clock.now();
+  const std::int64_t KnownVersion = this->Deps.Store.newestVersion();
   RowRange Range{ownershipKey().Table, ownershipKey().Partition};
   const auto Page =
       co_await this->Deps.Store.read(std::move(Range), CallTimeout);
@@ -159,7 +160,8 @@
     this->Observer.observeMissingRow();
   } else if (const auto Decoded = decodeOwnership(SiteRow->Value)) {
     this->Observer.observe(SiteRow->Version, *Decoded, RequestedAt,
-                           this->Deps.Clock.now(), Page->NewestVersion);
+                           this->Deps.Clock.now(), Page->NewestVersion,
+                           KnownVersion);
     // The row may also be this process's own: the answer to its claim was lost,
     // or its holder has stopped. It is claimed again then. The read may be old,
     // and a holder that stopped has used its token and run numbers.
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -68,6 +68,30 @@
   this->Context->SchedulingEvent.notify();
 }
 
+void UpstreamLink::followRestart(std::int64_t IncarnationStartMs) {
+  this->adoptIncarnation(IncarnationStartMs);
+  // The poll under way was sent to the process that has ended.
+  spawn(this->Context->Executor, "upstream-poll",
+        [Self = this->shared_from_this()] { return Self->pollOnce(); });
+}
+
+void UpstreamLink::adoptIncarnation(std::int64_t IncarnationStartMs) {
+  const Instant Now = this->Context->Clock.now();
+  this->Report.IncarnationStartMs = IncarnationStartMs;
+  this->RestartedAt = Now;
+  ++this->Restarts;
+  this->UnansweredPolls = 0;
+  // Listings that were requested before may not contain what the new process
+  // has accepted since.
+  this->NewestListingSentAt = Now;
+  this->Lease =
+      UpstreamLease(this->Context->Bounds,
+                    std::max(this->Context->InheritedLeasesExpireAt,
+                             Now + UpstreamLease::maxTimeToExpiryAfterRestart(
+                                       this->Context->Bounds)),
+                    Now);
+}
+
 void UpstreamLink::applyAnswer(const PollResponse &Answer, Instant SentAt,
                                Duration Timeout) {
   const Instant Now = this->Context->Clock.now();
@@ -76,8 +100,11 @@
     const std::int64_t IncarnationStartMs = Answer.Listing.IncarnationStartMs;
     if (IncarnationStartMs && this->Report.IncarnationStartMs &&
         IncarnationStartMs != this->Report.IncarnationStartMs) {
-      this->markEnded("another incarnation answers under its id");
-      return;
+      if (SentAt < this->RestartedAt)
+        return; // From the process that has ended.
+      this->Context->JobScheduler.restartUpstream(this->Report.Id,
+                                                  IncarnationStartMs, Now);
+      this->adoptIncarnation(IncarnationStartMs);
     }
     this->Report.IncarnationStartMs = IncarnationStartMs
                                           ? IncarnationStartMs
@@ -112,6 +139,8 @@
   // active.
   case PollOutcome::Refused:
   case PollOutcome::NoAnswer:
+    if (SentAt < this->RestartedAt)
+      return; // Says nothing about the new process.
     ++this->UnansweredPolls;
     // Before the timeout, an open connection broke.
     this->Context->JobScheduler.recordFailedPoll(
@@ -223,7 +252,10 @@
 }
 
 Async<void> UpstreamLink::sendStop(StopCommand Stop) {
-  while (this->isActive()) {
+  // What the old process acknowledges does not bind the new one: the scheduler
+  // issues stops again for the runs that are left.
+  const int RestartsBefore = this->Restarts;
+  while (this->isActive() && this->Restarts == RestartsBefore) {
     // The ownership may be renewed again, for example after an outage of the
     // table. Without this command the run would count for ever.
     if (!this->Context->Ownership.maySendCommands(this->Context->Clock.now())) {
@@ -234,7 +266,7 @@
       co_return;
     const StopOutcome Outcome = co_await this->Client->stop(
         Stop, this->Context->Ownership.token(), StopTimeout);
-    if (!this->isActive())
+    if (!this->isActive() || this->Restarts != RestartsBefore)
       co_return;
     this->Context->JobScheduler.handleStopOutcome(
         this->Report.Id, Stop.Run, Outcome, this->Context->Clock.now());
@@ -251,7 +283,12 @@
 Async<void> UpstreamLink::fetchListing() {
   // A run that was stopped before it began is not listed as ended, so the
   // pending long poll would report it only when its wait time is over.
-  if (!this->isActive() || !this->Lease.clockKnown() ||
+  if (this->Lease.clockKnown())
+    co_await this->pollOnce();
+}
+
+Async<void> UpstreamLink::pollOnce() {
+  if (!this->isActive() ||
       !this->Context->Ownership.maySendCommands(this->Context->Clock.now()))
     co_return;
   const Instant SentAt = this->Context->Clock.now();
--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -39,6 +39,9 @@
   void close() { this->Closed = true; }
   bool isClosed() const { return this->Closed; }
   const UpstreamReport &report() const { return this->Report; }
+  /// Continues with the process that has started again under the same id and
+  /// address, and asks it for a listing at once. The scheduler must know of it.
+  void followRestart(std::int64_t IncarnationStartMs);
   void send(StartCommand Start);
   void send(StopCommand Stop);
   void send(PaceCommand Pace);
@@ -49,7 +52,9 @@
   Async<void> sendStart(StartCommand Start);
   Async<void> sendStop(StopCommand Stop);
   Async<void> fetchListing();
+  Async<void> pollOnce();
   Async<void> sendPace(PaceCommand Pace);
+  void adoptIncarnation(std::int64_t IncarnationStartMs);
   /// \param Timeout of the poll.
   void applyAnswer(const PollResponse &Answer, Instant SentAt,
                    Duration Timeout);
@@ -65,6 +70,8 @@
   UpstreamLease Lease;
   /// When the poll for the newest listing was sent.
   Instant NewestListingSentAt{};
+  int Restarts = 0; ///< Incarnations that have ended since it was created.
+  Instant RestartedAt{};
   int UnansweredPolls = 0; ///< Consecutive polls without an answer.
 };
 
