A resubmitted job keeps the payload it was accepted with

A resubmission under the same Idempotency-Key with another body replaced the payload of the stored job, which then ran with a body other than the one it was accepted with.

Cause: JobStore::create wrote the payload object before it found out that the row exists; the name of the object follows from the key alone.

Ruled out: naming the payload in the row (by its digest). It would close the case of two first submissions at the same time as well, but a daemon of an older build that takes a job over writes the row without the field, and the payload would be lost.

Change: the row is read first, and an earlier job is returned without a write. A submission costs one read more, a resubmission two writes less.

--- a/packages/jobs/include/sardinerill/jobs/jobstore.h
+++ b/packages/jobs/include/sardinerill/jobs/jobstore.h
@@ -24,7 +24,8 @@
 
   /// Stores a new job: first its payload, then its row.
   /// \returns the job stored under this id. If the id was used before, that is
-  /// the earlier job, and its payload has been replaced by \p Payload.
+  /// the earlier job with its own payload; only if both are stored at the same
+  /// time can \p Payload replace it.
   Result<StoredJob> create(const JobRecord &NewJob, const std::string &Payload);
   /// Fails with NotFound if there is no such job.
   Result<StoredJob> read(const JobId &Id);
--- a/packages/jobs/src/jobstore.cpp
+++ b/packages/jobs/src/jobstore.cpp
@@ -74,6 +74,10 @@
 
 Result<StoredJob> JobStore::create(const JobRecord &NewJob,
                                    const std::string &Payload) {
+  // The payload of an earlier job must not be replaced.
+  Result<StoredJob> Earlier = this->read(NewJob.Id);
+  if (Earlier || Earlier.error().Kind != ErrorKind::NotFound)
+    return Earlier;
   Result<void> Stored =
       this->Platform.putObject(payloadName(NewJob.Id), Payload);
   if (!Stored)
--- a/packages/jobs/tests/jobs_test.cpp
+++ b/packages/jobs/tests/jobs_test.cpp
@@ -239,6 +239,25 @@
   CHECK(A.Jobs.isIdle());
 }
 
+TEST_CASE("a resubmission with another body doesn't change what the job runs "
+          "with") {
+  TestCluster Cluster;
+  TestCluster::Daemon A(Cluster, "a#1");
+  TestCluster::Daemon B(Cluster, "b#1");
+  for (const auto &[Each, Body] :
+       {std::pair(&A, "first"), std::pair(&B, "other"), std::pair(&A, "more")})
+    CHECK(Each->call({.Class = ClassId("often"),
+                      .Key = "team",
+                      .IdempotencyKey = "k",
+                      .Body = Body})
+              .has_value());
+  A.tick();
+  B.tick();
+  CHECK(B.Work.InFlight.empty());
+  REQUIRE(A.Work.InFlight.size() == 1);
+  CHECK(A.Work.InFlight[0].Request.Body == "first");
+}
+
 TEST_CASE("jobs of a stopped daemon are taken over exactly once") {
   TestCluster Cluster;
   TestCluster::Daemon B(Cluster, "b#1");
