A job row that can't be decoded is logged

Cause: JobStore::readAll left such rows out without a word. The job is then run by nobody, and no log says so.

Ruled out: failing the whole read, which would keep every other orphaned job waiting.

--- a/packages/jobs/include/sardinerill/jobs/jobstore.h
+++ b/packages/jobs/include/sardinerill/jobs/jobstore.h
@@ -29,7 +29,8 @@
   Result<StoredJob> create(const JobRecord &NewJob, const std::string &Payload);
   /// Fails with NotFound if there is no such job.
   Result<StoredJob> read(const JobId &Id);
-  /// Reads all jobs. Rows that can't be decoded are skipped.
+  /// Reads all jobs. Rows that can't be decoded are logged and
+  /// skipped.
   Result<std::vector<StoredJob>> readAll();
   /// Writes \p Changed if the row is still at the revision of \p Expected.
   /// Fails with VersionConflict if it was changed in the meantime.
--- a/packages/jobs/src/jobstore.cpp
+++ b/packages/jobs/src/jobstore.cpp
@@ -1,5 +1,6 @@
 #include "sardinerill/jobs/jobstore.h"
 
+#include "sardinerill/base/logging.h"
 #include "sardinerill/platform/platformcodec.h"
 
 #include <array>
@@ -109,9 +110,14 @@
   if (!Rows)
     return tl::unexpected(Rows.error());
   std::vector<StoredJob> Jobs;
-  for (const Row &Read : *Rows)
-    if (Result<JobRecord> Record = decodeJob(Read.Value); Record)
+  for (const Row &Read : *Rows) {
+    Result<JobRecord> Record = decodeJob(Read.Value);
+    if (Record)
       Jobs.push_back(StoredJob{*Record, Read.Rev});
+    else
+      logEvent(LogLevel::Warning, "job.row_unreadable",
+               {{"job", Read.Key.Key}, {"detail", Record.error().Detail}});
+  }
   return Jobs;
 }
 
