The property of the lease tells the observer how the holder was reached

The property "a holder sends no commands once the next holder considers its lease expired" compared the lease with each timeout, but the observer was never told of a refused, silent or answering holder: all its cases claimed after the same timeout.

Change, in that test alone: the contact is drawn and recorded after each read. The claim must come at the first read that shows the timeout of that contact, not before it and not one read later, and the holder must admit no job then. The earlier checks stay.

--- a/packages/ownership/tests/ownership_test.cpp
+++ b/packages/ownership/tests/ownership_test.cpp
@@ -181,15 +181,29 @@
     const OwnershipTimings Timings;
     const auto SentAt = *rc::gen::inRange(0, 3000);
     const auto Delay = *rc::gen::inRange(1, 800);
+    const auto Contact =
+        *rc::gen::element(HolderContact::Unknown, HolderContact::Answers,
+                          HolderContact::Refuses, HolderContact::Silent);
+    const Duration OwnTimeout =
+        Contact == HolderContact::Unknown   ? Timings.HolderTimeout
+        : Contact == HolderContact::Answers ? Timings.AnsweringHolderTimeout
+                                            : Timings.SilentHolderTimeout;
     OwnershipLease Lease(Timings, 1, at(SentAt));
     OwnershipObserver Observer(Timings);
     const int Committed = SentAt + *rc::gen::inRange(0, Delay);
-    for (int Time = Committed; Time < Committed + 6000; Time += 500) {
+    int Time = Committed;
+    for (; Time < Committed + 6000; Time += 500) {
       Observer.observe(1, Row, at(Time), at(Time + Delay));
+      Observer.recordContact(Contact);
       if (Observer.mayClaim())
         break;
     }
     RC_ASSERT(Observer.mayClaim());
+    RC_ASSERT_FALSE(Lease.mayAdmitJobs(at(Time)));
+    // Claimed at the first read that shows the timeout of this contact.
+    const Duration Observed = milliseconds(Time - Committed - Delay);
+    RC_ASSERT(Observed >= OwnTimeout);
+    RC_ASSERT(Observed < OwnTimeout + milliseconds(500));
     // Whichever timeout applies, the holder accepts no more jobs once it ended.
     for (const Duration Timeout :
          {Timings.SilentHolderTimeout, Timings.HolderTimeout,
