Malformed peer messages are tested behind the authentication code

The test of changed frames overwrote a byte of a whole frame, so nearly every case ended at the authentication code, and it asserted nothing.

Change: two tests in its place. A changed frame must be refused as not permitted, and an unchanged one decoded, for every message type. A payload that is changed before it is signed (up to three bytes, sometimes cut short) must be refused with a reason, or decode to something that can be sent again, that a member can take in without a confirmation from the future, and whose later gossip is valid.

--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -1,7 +1,10 @@
 #include "sardinerill/membership/membership.h"
 #include "sardinerill/membership/peermessages.h"
 
+#include <array>
 #include <doctest/doctest.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
 #include <rapidcheck.h>
 
 using namespace sardinerill;
@@ -281,8 +284,41 @@
   CHECK(DecodedEntry.Report.ConfirmationAge >= Entry.Report.ConfirmationAge);
 }
 
-TEST_CASE(
-    "empty and forged frames are refused, and changed frames cause no crash") {
+namespace {
+
+constexpr std::size_t MacBytes = 16;
+
+/// \returns a frame with \p Payload whose authentication code is right.
+std::string seal(const std::string &Secret, const std::string &Payload) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Mac{};
+  HMAC(EVP_sha256(), Secret.data(), int(Secret.size()),
+       reinterpret_cast<const unsigned char *>(Payload.data()), Payload.size(),
+       Mac.data(), nullptr);
+  return std::string(Mac.begin(), Mac.begin() + MacBytes) + Payload;
+}
+
+/// One message of each type.
+std::vector<PeerMessage> messagesOfAllTypes() {
+  GossipEntry Entry{daemonAt(2), milliseconds(4), {}, true, endpointAt(2)};
+  Entry.Report = {
+      9, 8, milliseconds(7), {VmId("w")}, {{PoolId("p"), TeamId("t"), 6}}};
+  return {Gossip{1, 2, {Entry}, {5, {1, 2}}},
+          GossipReply{1, 2, {Entry}, {5, {1, 2}}},
+          VersionHint{4},
+          VersionAck{5},
+          LoanRequestMessage{{1, ResourceId("team/a"), 2, true}},
+          LoanReply{1,
+                    ResourceId("team/a"),
+                    {{daemonAt(1), 7}, 2, milliseconds(2000), 5, seconds(30)}},
+          LoanReturn{ResourceId("vm/b"), 3},
+          FleetRequest{1},
+          FleetReply{2, nlohmann::json{{"pools", 1}}},
+          ReportPush{Entry}};
+}
+
+} // namespace
+
+TEST_CASE("empty, forged and changed frames are refused") {
   const PeerCodec Codec("secret");
   CHECK_FALSE(Codec.decode("").has_value());
   CHECK(PeerCodec("other")
@@ -290,14 +326,69 @@
             .error()
             .Kind == ErrorKind::NotPermitted);
   CHECK(rc::check("frames with one byte overwritten", [&] {
-    std::string Frame = Codec.encode(
-        {daemonAt(1),
-         Gossip{1,
-                0,
-                {{daemonAt(2), Duration(0), {}, true, endpointAt(2)}},
-                {5, {1, 2}}}});
-    const auto Position = *rc::gen::inRange<std::size_t>(0, Frame.size());
-    Frame[Position] = *rc::gen::arbitrary<char>();
-    (void)Codec.decode(Frame);
+    const PeerMessage Message = *rc::gen::elementOf(messagesOfAllTypes());
+    const std::string Frame = Codec.encode({daemonAt(1), Message});
+    std::string Changed = Frame;
+    Changed[*rc::gen::inRange<std::size_t>(0, Frame.size())] =
+        *rc::gen::arbitrary<char>();
+    const auto Decoded = Codec.decode(Changed);
+    RC_ASSERT(Decoded.has_value() == (Changed == Frame));
+    if (!Decoded)
+      RC_ASSERT((Decoded.error().Kind == ErrorKind::NotPermitted));
+  }));
+}
+
+// A peer of another build, or one with a fault, signs what it sends: the
+// authentication code doesn't keep malformed messages out.
+TEST_CASE("a malformed message of a peer that knows the secret is refused or "
+          "harmless") {
+  const std::string Secret = "secret";
+  const PeerCodec Codec(Secret);
+  CHECK(messagesOfAllTypes().size() == std::variant_size_v<PeerMessage>);
+  std::size_t Refused = 0;
+  std::size_t Accepted = 0;
+  CHECK(rc::check("payloads that were changed before they were signed", [&] {
+    const PeerMessage Message = *rc::gen::elementOf(messagesOfAllTypes());
+    std::string Payload = Codec.encode({daemonAt(1), Message}).substr(MacBytes);
+    const auto Changes = *rc::gen::inRange(1, 4);
+    for (int Change = 0; Change < Changes; ++Change)
+      Payload[*rc::gen::inRange<std::size_t>(0, Payload.size())] =
+          static_cast<char>(
+              *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 256)));
+    if (*rc::gen::inRange(0, 5) == 4)
+      Payload.resize(*rc::gen::inRange<std::size_t>(0, Payload.size()));
+    const auto Decoded = Codec.decode(seal(Secret, Payload));
+    if (!Decoded) {
+      ++Refused;
+      RC_ASSERT((Decoded.error().Kind == ErrorKind::BadRequest));
+      RC_ASSERT_FALSE(Decoded.error().Detail.empty());
+      return;
+    }
+    ++Accepted;
+    // What was accepted keeps its type and can be sent on.
+    const auto Again = Codec.decode(Codec.encode(*Decoded));
+    RC_ASSERT(Again.has_value());
+    RC_ASSERT(Again->From == Decoded->From);
+    RC_ASSERT(Again->Message.index() == Decoded->Message.index());
+    Membership View(daemonAt(0), endpointAt(0), {});
+    const Instant Now(seconds(1000));
+    std::mt19937_64 Random(7);
+    if (const auto *Request = std::get_if<Gossip>(&Decoded->Message)) {
+      (void)View.handleGossip(Decoded->From, *Request, Now);
+    } else if (auto *Reply = std::get_if<GossipReply>(&Decoded->Message)) {
+      View.applyRoster({{daemonAt(1), endpointAt(1)}}, Now);
+      GossipReply Expected = *Reply;
+      Expected.Nonce = View.tick(Now, Random).front().Message.Nonce;
+      View.handleGossipReply(Expected, Now);
+    } else if (const auto *Push = std::get_if<ReportPush>(&Decoded->Message)) {
+      View.handleReportPush(*Push, Now);
+    }
+    // A confirmation or report from the future would keep a withdrawn key.
+    RC_ASSERT(View.confirmedNewestAt() <= Now);
+    for (const OutgoingGossip &Out : View.tick(Now + seconds(1), Random))
+      RC_ASSERT(
+          Codec.decode(Codec.encode({View.self(), Out.Message})).has_value());
   }));
+  CHECK(Refused > 50);
+  CHECK(Accepted > 20);
 }
