The retry delay of a full queue and the run limit are tested

Cause: the tests of dispatch looked at the kind of error alone. A full queue that sends callers back at once, or a time-out that says "not run", would not be noticed.

Change: a full queue must send callers back after the time that its requests take, for starts every 100, 10 and 1 ms (2 s, 200 ms, the floor of 50 ms, at most 5% more) and after 500 ms while no rate is known. A request without a reply within the run limit must count as one that may have run.

--- a/packages/dispatch/tests/dispatcher_test.cpp
+++ b/packages/dispatch/tests/dispatcher_test.cpp
@@ -321,6 +321,37 @@
   CHECK(Fixture.errorOf(Fixture.submit("often")) == ErrorKind::QueueFull);
 }
 
+// A delay that ignores the queue sends callers back while it is still full.
+TEST_CASE("the retry delay of a full queue is the time that the queue takes") {
+  DispatcherFixture Fixture(1);
+  const auto FillQueue = [&] {
+    // Nothing starts at a ceiling of no units, so 20 requests wait.
+    Fixture.Escrow.Limits[ResourceId("team/t")] = 0;
+    for (int Number = 0; Number < 20; ++Number)
+      Fixture.submit("often");
+    const RequestId Refused = Fixture.submit("often");
+    REQUIRE(Fixture.errorOf(Refused) == ErrorKind::QueueFull);
+    return Fixture.Answers[Refused][0].error().RetryAfter;
+  };
+  // Before the first start, no rate is known.
+  CHECK(FillQueue() == milliseconds(500));
+  for (const auto &[Interval, Expected] :
+       {std::pair(100, 2000), std::pair(10, 200), std::pair(1, 50)}) {
+    Fixture.Clock.advance(seconds(2));
+    Fixture.Subject.tick(); // The waiting requests expire.
+    Fixture.Escrow.Limits[ResourceId("team/t")] = 3;
+    for (int Number = 0; Number < 60; ++Number) {
+      Fixture.Clock.advance(milliseconds(Interval));
+      Fixture.submit("often");
+      Fixture.Upstreams.end(0, 9);
+    }
+    const auto Delay = FillQueue();
+    REQUIRE(Delay.has_value());
+    CHECK(*Delay >= milliseconds(Expected));
+    CHECK(*Delay <= milliseconds(Expected + Expected / 20));
+  }
+}
+
 // Without a retry budget each request to failing VMs would cause up to three
 // attempts.
 TEST_CASE("during a full outage attempts stay below 1.1 times the requests") {
--- a/packages/dispatch/tests/httpupstreams_test.cpp
+++ b/packages/dispatch/tests/httpupstreams_test.cpp
@@ -182,6 +182,7 @@
   auto Outcome = exchange(Upstreams, Io, Peer.endpoint(), "a");
   REQUIRE_FALSE(Outcome.has_value());
   CHECK(Outcome.error().Kind == ErrorKind::UpstreamTimeout);
+  CHECK(Outcome.error().mayHaveRun());
   CHECK_FALSE(Outcome.error().TaskIsNotRunning);
 }
 
