A request to a VM with an unreadable address is sent nowhere

A VM whose address is not an IP address was taken for 0.0.0.0, which connects to the daemon's own machine: another server there got the request, and a time-out then said that it may have run.

Cause: the error of make_address was ignored.

Ruled out: a look-up of names. It blocks, and the configuration means addresses.

Change: such an attempt fails as unreachable and not run, and the detail quotes the address.

--- a/packages/dispatch/src/httpupstreams.cpp
+++ b/packages/dispatch/src/httpupstreams.cpp
@@ -124,11 +124,15 @@
   }
 
   void connect() {
-    // The error is not evaluated: an address that can't be parsed gives
-    // 0.0.0.0.
     error_code ParseError;
     const auto Ip =
         asio::ip::make_address(this->Request.Vm.Address, ParseError);
+    if (ParseError) {
+      this->fail(makeFailure(
+          ErrorKind::UpstreamUnreachable, RetryReason::ConnectFailed, true,
+          "\"" + this->Request.Vm.Address + "\" is not an IP address"));
+      return;
+    }
     this->Connection = std::make_unique<Stream>(this->Pool->Io);
     this->Connection->expires_after(ConnectTimeout);
     this->Connection->async_connect(
--- a/packages/dispatch/tests/httpupstreams_test.cpp
+++ b/packages/dispatch/tests/httpupstreams_test.cpp
@@ -186,6 +186,28 @@
   CHECK_FALSE(Outcome.error().TaskIsNotRunning);
 }
 
+// 0.0.0.0, which an unreadable address was taken for, is this machine: another
+// server's task would run here.
+TEST_CASE("a request to a VM whose address can't be read is sent nowhere") {
+  ScriptedPeer Peer;
+  asio::io_context Io;
+  HttpUpstreams Upstreams(Io);
+  for (const char *Address : {"", "worker-7", "127.0.0.256"}) {
+    VmEndpoint Vm = Peer.endpoint();
+    Vm.Address = Address;
+    auto Outcome = exchange(Upstreams, Io, Vm, "a");
+    REQUIRE_FALSE(Outcome.has_value());
+    CHECK(Outcome.error().Kind == ErrorKind::UpstreamUnreachable);
+    CHECK_FALSE(Outcome.error().mayHaveRun());
+    CHECK(Outcome.error().Detail.find("\"" + std::string(Address) + "\"") !=
+          std::string::npos);
+  }
+  boost::system::error_code Ec;
+  Peer.Acceptor.non_blocking(true);
+  (void)Peer.Acceptor.accept(Ec);
+  CHECK(Ec == asio::error::would_block);
+}
+
 TEST_CASE("a refused connection means that the request did not run") {
   ScriptedPeer Peer;
   const VmEndpoint Endpoint = Peer.endpoint();
