Operators are shown pools and VMs that are named salt or hash

The document that the daemon shows to operators lacked every pool, VM, zone, class, team and key of the name "salt" or "hash". Who edits what is shown and applies it would remove them.

Cause: redactDocument removed members of these names at any depth.

Ruled out: forbidding the names. Documents that have them are in force.

Change: only the salts and hashes of the keys of operators and teams are removed. These are the only places where the fleet document holds them (FieldReader refuses other fields).

--- a/packages/fleet/include/sardinerill/fleet/fleetdocument.h
+++ b/packages/fleet/include/sardinerill/fleet/fleetdocument.h
@@ -31,8 +31,8 @@
 nlohmann::json updateFieldVersions(const nlohmann::json &Before,
                                    nlohmann::json After, FleetVersion Version);
 
-/// Removes every member named "salt" or "hash" at any depth, and with them the
-/// keys' salts and hashes, before a document is returned to an operator.
+/// Removes the salts and hashes of the keys of operators and teams, before a
+/// document is returned to an operator.
 nlohmann::json redactDocument(nlohmann::json Document);
 
 } // namespace sardinerill
--- a/packages/fleet/src/fleetdocument.cpp
+++ b/packages/fleet/src/fleetdocument.cpp
@@ -260,13 +260,31 @@
   return After;
 }
 
+namespace {
+
+/// Removes the salts and hashes of the keys that \p Owner (a team, or the
+/// operators) has.
+void redactKeys(json &Owner) {
+  if (!Owner.is_object() || !Owner.contains("keys"))
+    return;
+  for (json &Key : Owner["keys"])
+    if (Key.is_object()) {
+      Key.erase("salt");
+      Key.erase("hash");
+    }
+}
+
+} // namespace
+
 json redactDocument(json Document) {
   if (!Document.is_object())
     return Document;
-  Document.erase("salt");
-  Document.erase("hash");
-  for (auto &[Name, Value] : Document.items())
-    Value = redactDocument(std::move(Value));
+  if (const auto Operators = Document.find("operators");
+      Operators != Document.end())
+    redactKeys(*Operators);
+  if (const auto Teams = Document.find("teams"); Teams != Document.end())
+    for (json &Team : *Teams)
+      redactKeys(Team);
   return Document;
 }
 
