The load of a member that left the roster no longer counts

What a removed member last reported as running stayed in the sum of the other daemons' loads until the next report of anyone. A daemon alone in the fleet gets none.

Cause: applyRoster removed members (missing from two rosters, or succeeded by a newer incarnation) without a rebuild of the sum; removeMember and merge do it.

Change: applyRoster rebuilds it.

--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -292,6 +292,7 @@
     if (!Inserted)
       Found->second.Endpoint = Entry.second;
   }
+  this->rebuildRemoteLoads();
 }
 
 void Membership::removeMember(const DaemonId &Id) {
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -237,6 +237,28 @@
   CHECK(Observer.daemonsBusyOn(VmId("w1"), 7).empty());
 }
 
+// The team's share would be counted as used by a daemon that is gone.
+TEST_CASE("the load of a member that left the roster no longer counts") {
+  for (const bool IsReplaced : {false, true}) {
+    Membership View(daemonAt(0), endpointAt(0), {});
+    Instant Now(seconds(1000));
+    GossipEntry Entry{daemonAt(1), Duration(0), {}, true, endpointAt(1)};
+    Entry.Report.Heartbeat = 1;
+    Entry.Report.Loads = {{PoolId("p"), TeamId("t"), 6}};
+    View.handleReportPush(ReportPush{Entry}, Now);
+    CHECK(View.runningOnOtherDaemons(PoolId("p"), TeamId("t")) == 6);
+    std::map<DaemonId, PeerEndpoint> Roster;
+    if (IsReplaced)
+      Roster[daemonAt(1, 2)] = endpointAt(1);
+    for (int Round = 0; Round < 3; ++Round) {
+      Now += seconds(60);
+      View.applyRoster(Roster, Now);
+    }
+    REQUIRE_FALSE(View.otherMembers().contains(daemonAt(1)));
+    CHECK(View.runningOnOtherDaemons(PoolId("p"), TeamId("t")) == 0);
+  }
+}
+
 // Guards against finishing a drain too early: an acknowledgement says nothing
 // about the busy VMs in the last report, which may predate the version.
 TEST_CASE(
