A peer link whose send buffer is full is closed

Cause: when a link refused a frame, the transport forgot it and opened another, but left it open: its buffer of 8 MB stayed, and each further full link added one. A peer that stands still costs more memory with each.

Ruled out: dropping the frame and keeping the link. The header promises that the message is sent on a new link, and loans wait for their answers.

Change: the link is closed after it is forgotten (closing may call back).

Evidence: the new test (12 MB to a peer while the event loop stands still) failed before: no link was closed within 5 s.

--- a/packages/membership/include/sardinerill/membership/peertransport.h
+++ b/packages/membership/include/sardinerill/membership/peertransport.h
@@ -33,7 +33,7 @@
   /// Encodes and sends \p Message. It is dropped if the address of \p To is
   /// unknown, the connection fails, or too many messages wait for a link that
   /// is being opened. If sending on an open link fails or its send buffer is
-  /// full, the message is sent on a new link.
+  /// full, that link is closed and the message is sent on a new one.
   void send(const DaemonId &To, const PeerMessage &Message) override;
   /// Stops listening and closes all links.
   void stop();
--- a/packages/membership/src/peertransport.cpp
+++ b/packages/membership/src/peertransport.cpp
@@ -50,7 +50,10 @@
   if (auto Link = this->OpenLinks.find(To); Link != this->OpenLinks.end()) {
     if (this->Websockets->send(Link->second, Frame))
       return;
+    // Forgotten first: closing may call handleClosed().
+    const LinkId Unusable = Link->second;
     this->OpenLinks.erase(Link);
+    this->Websockets->close(Unusable);
   }
   if (auto Pending = this->PendingLinks.find(To);
       Pending != this->PendingLinks.end()) {
--- a/packages/membership/tests/peertransport_test.cpp
+++ b/packages/membership/tests/peertransport_test.cpp
@@ -91,3 +91,41 @@
   CHECK(B.Received.empty());
   A.Transport.stop();
 }
+
+// A link that is forgotten but stays open keeps its buffer of 8 MB, and so does
+// each further one.
+TEST_CASE("a link whose send buffer is full is closed") {
+  boost::asio::io_context Io;
+  unsigned Closed = 0;
+  unsigned Received = 0;
+  LinkCallbacks Callbacks;
+  Callbacks.Opened = [](LinkId) {};
+  Callbacks.Closed = [&](LinkId) { ++Closed; };
+  Callbacks.Received = [&](LinkId, const std::string &) { ++Received; };
+  WebsocketEndpoint Peer(Io, std::move(Callbacks));
+  REQUIRE(Peer.listen("127.0.0.1", 0) == "");
+  TestPeer A(Io, "a", "secret");
+  const DaemonId Name("peer#1");
+  A.Members.applyRoster(
+      {{Name, PeerEndpoint{ZoneId("z"), "127.0.0.1", Peer.port()}}},
+      Instant(seconds(1)));
+  A.Transport.send(Name, VersionHint{7});
+  runUntil(Io, [&] { return Received == 1; });
+  // Nothing is delivered meanwhile, as the event loop does not run.
+  const FleetReply Large{1, nlohmann::json(std::string(1000000, 'x'))};
+  for (int Number = 0; Number < 12; ++Number)
+    A.Transport.send(Name, Large);
+  const auto Deadline =
+      std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  runUntil(Io, [&] {
+    return Closed == 1 || std::chrono::steady_clock::now() >= Deadline;
+  });
+  CHECK(Closed == 1);
+  // The link that replaced it is in use.
+  const unsigned Before = Received;
+  A.Transport.send(Name, VersionHint{8});
+  runUntil(Io, [&] { return Received > Before; });
+  CHECK(Closed == 1);
+  A.Transport.stop();
+  Peer.stop();
+}
