A refused caller that keeps sending is disconnected

After a refusal that closes the connection, further input is read and discarded so that the caller gets the answer. A caller that sent a byte every second held its connection for ever, and a planned shutdown until its own limit.

Cause: the limit of 1 s began anew with each read.

Ruled out: a single limit of 1 s. Callers that are still sending a large body when it is refused would lose the answer to a reset.

Change: the limit of 1 s for silence stays; reading ends in any case when the time limit of a request (10 s by default) has passed since the answer.

--- a/packages/gateway/src/callerserver.cpp
+++ b/packages/gateway/src/callerserver.cpp
@@ -5,6 +5,7 @@
 #include "sardinerill/gateway/problem.h"
 #include "sardinerill/platform/iplatform.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -448,14 +449,19 @@
     error_code Ignored;
     this->Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
     this->Phase = Phase::Idle;
+    this->DiscardUntil =
+        std::chrono::steady_clock::now() + this->State->Options.RequestTimeout;
     this->discardInput();
   }
 
   /// Reads and discards further input until the caller closes or has sent
-  /// nothing for DrainIdleTimeout. Closing a socket with unread input would
-  /// reset the connection, and the caller might lose the response.
+  /// nothing for DrainIdleTimeout, but not after DiscardUntil. Closing a socket
+  /// with unread input would reset the connection, and the caller might lose
+  /// the response.
   void discardInput() {
-    this->Stream.expires_after(DrainIdleTimeout);
+    this->Stream.expires_at(
+        std::min(std::chrono::steady_clock::now() + DrainIdleTimeout,
+                 this->DiscardUntil));
     this->Buffer.clear();
     this->Stream.async_read_some(
         this->Buffer.prepare(ReadChunkBytes),
@@ -473,6 +479,8 @@
   RequestId Id;
   Phase Phase = Phase::Idle;
   std::uint64_t RequestNumber = 0;
+  /// Latest time at which a connection that is being closed is read.
+  std::chrono::steady_clock::time_point DiscardUntil;
   bool CloseAfterResponse = false;
   bool Disconnected = false;
 };
--- a/packages/gateway/tests/callerserver_test.cpp
+++ b/packages/gateway/tests/callerserver_test.cpp
@@ -267,6 +267,27 @@
   CHECK(Fixture.Work.Pending.empty());
 }
 
+// Such a caller would hold a connection, and a planned shutdown, for as long as
+// it likes.
+TEST_CASE("a refused caller that keeps sending is disconnected at the request "
+          "timeout") {
+  ServerFixture Fixture(CallerServerOptions{
+      .MaxBodyBytes = 10, .RequestTimeout = milliseconds(300)});
+  tcp::socket Caller = Fixture.connect();
+  send(Caller, post("/v1/work/a", std::string(11, 'x')));
+  CHECK(Fixture.readUntil(Caller, "body_too_large").find("413") !=
+        std::string::npos);
+  const auto Start = std::chrono::steady_clock::now();
+  boost::system::error_code Ec;
+  while (!Fixture.Server.isDrained() &&
+         std::chrono::steady_clock::now() < Start + std::chrono::seconds(3)) {
+    Caller.write_some(asio::buffer("x", 1), Ec);
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    Fixture.run();
+  }
+  CHECK(Fixture.Server.isDrained());
+}
+
 TEST_CASE("connections over the limit are refused with 429") {
   ServerFixture Fixture(CallerServerOptions{.MaxConnections = 2});
   tcp::socket First = Fixture.connect();
