A running daemon keeps the incarnation that it registers again

A daemon that was not in the roster registered again with registerDaemon, which raises the incarnation above a stored one, and dropped what it returned. The row then named a process that doesn't exist; the daemon found itself missing and raised the row once a minute. Peers that read the roster took it for an old incarnation, ignored it, and could take its running jobs over.

Cause: that function is for a start, when the number may still change. A lost answer to the first registration, or a clock set back, was enough.

Ruled out: taking over the returned number. Grants, loans and jobs are held under the old one.

Change: renewRegistration stores the daemon's own incarnation and nothing else. If a higher one is stored, the daemon logs daemon.superseded, stops in order and ends with status 1, so that a new process takes a number above it.

Evidence: the two new tests failed before, on the old behaviour under the new name: row 101 in place of 100 after a second renewal, and no error with 200 stored. The stop itself was compiled, not run: no daemon was started for this.

--- a/packages/control/include/sardinerill/control/roster.h
+++ b/packages/control/include/sardinerill/control/roster.h
@@ -17,6 +17,14 @@
                                      const DaemonIdentity &Requested,
                                      const PeerEndpoint &Endpoint);
 
+/// Stores the row of a process that already runs as \p Self, if it is missing
+/// or belongs to an earlier incarnation. Blocks.
+/// \returns VersionConflict if a higher incarnation is stored: the process has
+/// been succeeded, or its clock was set back and it was never the newest;
+/// PlatformUnavailable if the call has to be repeated.
+Result<void> renewRegistration(ITable &Table, const DaemonIdentity &Self,
+                               const PeerEndpoint &Endpoint);
+
 /// Deletes the row of \p Self at a planned stop. Does nothing if the row
 /// belongs to another incarnation. Blocks.
 Result<void> deregisterDaemon(ITable &Table, const DaemonIdentity &Self);
--- a/packages/control/src/roster.cpp
+++ b/packages/control/src/roster.cpp
@@ -67,6 +67,34 @@
           Requested.Vm);
 }
 
+Result<void> renewRegistration(ITable &Table, const DaemonIdentity &Self,
+                               const PeerEndpoint &Endpoint) {
+  const RowKey Key{RosterTable, Self.Vm};
+  Result<std::vector<Row>> StoredRows = Table.read({Key});
+  if (!StoredRows)
+    return tl::unexpected(StoredRows.error());
+  const RosterRow OwnRow{Self.Incarnation, Endpoint};
+  if (Result<RosterRow> Stored = decodeRow(StoredRows->front()); Stored) {
+    if (Stored->Incarnation > Self.Incarnation)
+      return makeError(ErrorKind::VersionConflict,
+                       "incarnation " + std::to_string(Stored->Incarnation) +
+                           " is registered, this process is " +
+                           std::to_string(Self.Incarnation));
+    if (Stored->Incarnation == Self.Incarnation && Stored->Endpoint == Endpoint)
+      return {};
+  }
+  Result<CommitOutcome> Outcome =
+      commitAndVerify(Table, Transaction{makeWriteId(),
+                                         {{Key, StoredRows->front().Rev}},
+                                         {{Key, encodeRow(OwnRow)}}});
+  if (!Outcome)
+    return tl::unexpected(Outcome.error());
+  if (*Outcome == CommitOutcome::Conflict)
+    return makeError(ErrorKind::PlatformUnavailable,
+                     "the row was changed in the meantime");
+  return {};
+}
+
 Result<void> deregisterDaemon(ITable &Table, const DaemonIdentity &Self) {
   const RowKey Key{RosterTable, Self.Vm};
   Result<std::vector<Row>> StoredRows = Table.read({Key});
--- a/packages/control/tests/control_test.cpp
+++ b/packages/control/tests/control_test.cpp
@@ -274,3 +274,45 @@
   REQUIRE(deregisterDaemon(Platform, {"vm", 101}).has_value());
   CHECK(readRoster(Platform)->empty());
 }
+
+// Peers ignore an incarnation that is lower than the stored one. A row that is
+// raised at each renewal makes the running process an old one.
+TEST_CASE("a running daemon never registers an incarnation other than its "
+          "own") {
+  InMemoryPlatform Platform;
+  const PeerEndpoint Endpoint{ZoneId("z"), "127.0.0.1", 1};
+  const DaemonIdentity Self{"vm", 100};
+  const auto IsStored = [&](std::uint64_t Incarnation) {
+    const auto Roster = readRoster(Platform);
+    return Roster->size() == 1 &&
+           Roster->contains(makeDaemonId({"vm", Incarnation}));
+  };
+  // The daemon started while the platform was away; an earlier process is
+  // stored.
+  REQUIRE(registerDaemon(Platform, {"vm", 40}, Endpoint).has_value());
+  CHECK(renewRegistration(Platform, Self, Endpoint).has_value());
+  CHECK(IsStored(100));
+  // Renewed again, because the reply of the roster was lost.
+  CHECK(renewRegistration(Platform, Self, Endpoint).has_value());
+  CHECK(IsStored(100));
+  // The row was removed by an operator.
+  REQUIRE(deregisterDaemon(Platform, Self).has_value());
+  Platform.setFaults({.RepliesToDrop = 1});
+  CHECK(renewRegistration(Platform, Self, Endpoint).has_value());
+  CHECK(IsStored(100));
+}
+
+TEST_CASE("a running daemon learns of a higher stored incarnation and leaves "
+          "it in place") {
+  InMemoryPlatform Platform;
+  const PeerEndpoint Endpoint{ZoneId("z"), "127.0.0.1", 1};
+  REQUIRE(registerDaemon(Platform, {"vm", 200}, Endpoint).has_value());
+  const auto Renewed = renewRegistration(Platform, {"vm", 100}, Endpoint);
+  REQUIRE_FALSE(Renewed.has_value());
+  CHECK((Renewed.error().Kind == ErrorKind::VersionConflict));
+  CHECK(readRoster(Platform)->contains(makeDaemonId({"vm", 200})));
+  Platform.setFaults({.Unavailable = true});
+  const auto Unknown = renewRegistration(Platform, {"vm", 100}, Endpoint);
+  REQUIRE_FALSE(Unknown.has_value());
+  CHECK((Unknown.error().Kind == ErrorKind::PlatformUnavailable));
+}
--- a/packages/daemon/src/daemonimpl.h
+++ b/packages/daemon/src/daemonimpl.h
@@ -124,6 +124,8 @@
   std::optional<boost::asio::signal_set> Signals;
   RemovedVmTracker RemovedVms;
   bool Registered = false;
+  /// Whether a later process is registered for this VM; this one stops.
+  bool IsSuperseded = false;
   /// Whether inheritGrants() has succeeded.
   bool GrantsRecovered = false;
   bool RosterPollPending = false;
--- a/packages/daemon/src/daemonmembership.cpp
+++ b/packages/daemon/src/daemonmembership.cpp
@@ -82,21 +82,34 @@
     return;
   this->RosterPollPending = true;
   const bool Register = !this->Registered && !this->Stopping;
-  using Roster = Result<std::map<DaemonId, PeerEndpoint>>;
-  runInBackground<Roster>(
+  struct PollOutcome {
+    Result<void> Registration;
+    Result<std::map<DaemonId, PeerEndpoint>> Rows;
+  };
+  runInBackground<PollOutcome>(
       this->Background,
       [this, Register] {
+        Result<void> Registration;
         if (Register)
-          (void)registerDaemon(this->Platform, this->OwnIdentity,
-                               this->OwnEndpoint);
-        return readRoster(this->Platform);
+          Registration = renewRegistration(this->Platform, this->OwnIdentity,
+                                           this->OwnEndpoint);
+        return PollOutcome{Registration, readRoster(this->Platform)};
       },
-      [this](Roster Rows) {
+      [this](PollOutcome Outcome) {
         this->RosterPollPending = false;
-        if (!Rows)
+        if (!Outcome.Registration &&
+            Outcome.Registration.error().Kind == ErrorKind::VersionConflict) {
+          // Peers ignore this process. Only another one gets a new number.
+          logEvent(LogLevel::Error, "daemon.superseded",
+                   {{"daemon", this->Members->self().str()},
+                    {"detail", Outcome.Registration.error().Detail}});
+          this->IsSuperseded = true;
+          this->beginShutdown();
+        }
+        if (!Outcome.Rows)
           return;
-        this->Registered = Rows->contains(this->Members->self());
-        this->Members->applyRoster(*Rows, this->Clock.now());
+        this->Registered = Outcome.Rows->contains(this->Members->self());
+        this->Members->applyRoster(*Outcome.Rows, this->Clock.now());
       });
 }
 
--- a/packages/daemon/src/daemonshutdown.cpp
+++ b/packages/daemon/src/daemonshutdown.cpp
@@ -47,7 +47,7 @@
   if (!this->ReturningUnits) {
     this->ReturningUnits = true;
     this->UnitReturnStartedAt = Now;
-    this->ExitCode = IsDrained ? 0 : 1;
+    this->ExitCode = IsDrained && !this->IsSuperseded ? 0 : 1;
     this->Escrow->beginDrain();
   }
   if (this->Escrow->isDrained() ||
