The units of a removed daemon are reclaimed once

Cause: the tracker forgot a removal when the daemon was handed out for reclaiming. If gossip of a peer that lags added the member again, the same removal was found anew and its units reclaimed a second time.

Ruled out: leaving such a member alone. It is still removed from the members each time.

Change: a daemon is queued for reclaiming only the first time. Its VM stays removed, and a daemon that starts there later has another incarnation.

--- a/packages/daemon/src/removedvmtracker.cpp
+++ b/packages/daemon/src/removedvmtracker.cpp
@@ -17,8 +17,10 @@
     Count = IsMissing ? Count + 1 : 0;
     if (Count < ListsUntilRemoved || this->RemovedAt.contains(Id))
       continue;
-    this->RemovedAt[Id] = Now;
-    this->EverRemoved.insert(Id);
+    // Its units are reclaimed once: its VM stays removed, and a daemon that
+    // starts there later has another incarnation.
+    if (this->EverRemoved.insert(Id).second)
+      this->RemovedAt[Id] = Now;
     NewlyRemoved.push_back(Id);
   }
   this->EverListed.merge(Present);
--- a/packages/daemon/src/removedvmtracker.h
+++ b/packages/daemon/src/removedvmtracker.h
@@ -20,16 +20,16 @@
 public:
   /// Applies a new VM list.
   /// \returns the daemons in \p Daemons whose VM was found to be removed by
-  /// this list.
+  /// this list; a daemon whose removal was found earlier, if it is still in
+  /// \p Daemons after takeReclaimable() returned it.
   std::vector<DaemonId> update(const std::vector<VmListEntry> &Vms,
                                const std::vector<DaemonId> &Daemons,
                                Instant Now);
 
   /// \returns the daemons whose VM was found to be removed at least
-  /// \p ReclaimDelay ago, and those passed to requeue(). A daemon is returned
-  /// again if update() still gets it in \p Daemons after it was returned.
-  /// \param ReclaimDelay time until units that a daemon held can no longer be
-  /// in use.
+  /// \p ReclaimDelay ago, and those passed to requeue(). Without requeue(), a
+  /// daemon is returned once. \param ReclaimDelay time until units that a
+  /// daemon held can no longer be in use.
   std::vector<DaemonId> takeReclaimable(Instant Now, Duration ReclaimDelay);
   /// \returns whether the VM of \p Id was ever found to be removed.
   bool isRemoved(const DaemonId &Id) const {
--- a/packages/daemon/tests/removedvmtracker_test.cpp
+++ b/packages/daemon/tests/removedvmtracker_test.cpp
@@ -29,3 +29,18 @@
   Tracker.requeue(DaemonId("a#1"), Now);
   CHECK(Tracker.takeReclaimable(Now, seconds(5)).size() == 1);
 }
+
+// Gossip of a peer that lags can add a removed member again.
+TEST_CASE("a removed daemon that peers report again is removed again but not "
+          "reclaimed twice") {
+  RemovedVmTracker Tracker;
+  const std::vector<DaemonId> Known{DaemonId("a#1")};
+  const Instant Now(seconds(10));
+  (void)Tracker.update({{VmId("a"), VmListState::Live, 1}}, Known, Now);
+  (void)Tracker.update({}, Known, Now);
+  REQUIRE(Tracker.update({}, Known, Now) == Known);
+  REQUIRE(Tracker.takeReclaimable(Now + seconds(5), seconds(5)) == Known);
+  CHECK(Tracker.update({}, Known, Now + seconds(6)) == Known);
+  CHECK(Tracker.takeReclaimable(Now + seconds(60), seconds(5)).empty());
+  CHECK(Tracker.isRemoved(DaemonId("a#1")));
+}
