The operators' client refuses a malformed port and an unknown output format

Cause: strtoul stops at the first other character and was not asked where; the format was compared with "json" only.

Change: the port must be a number as a whole, the address must not be empty, the format must be table or json. The two checks moved from main.cpp, which no test can link, to commands.cpp.

--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "fleetfile.h"
 
+#include <charconv>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -332,6 +333,23 @@
 
 } // namespace
 
+bool parseServer(const std::string &Text, OperatorClientOptions &Options) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  Options.Address = Text.substr(0, Colon);
+  const char *const End = Text.data() + Text.size();
+  const auto Parsed =
+      std::from_chars(Text.data() + Colon + 1, End, Options.Port);
+  return !Options.Address.empty() && Parsed.ec == std::errc() &&
+         Parsed.ptr == End && Options.Port > 0;
+}
+
+bool parseOutput(const std::string &Text, CommandLineOptions &Options) {
+  Options.AsJson = Text == "json";
+  return Options.AsJson || Text == "table";
+}
+
 std::string describeCommands() {
   std::ostringstream Out;
   for (const Command &Entry : commands())
--- a/packages/ctl/src/commands.h
+++ b/packages/ctl/src/commands.h
@@ -28,6 +28,15 @@
   bool AsJson = false;
 };
 
+/// Parses "address:port" into \p Options.
+/// \returns false if the address is missing or the port is not a number from 1
+/// to 65535.
+bool parseServer(const std::string &Text, OperatorClientOptions &Options);
+
+/// Parses "table" or "json" into \p Options.
+/// \returns false if \p Text is something else.
+bool parseOutput(const std::string &Text, CommandLineOptions &Options);
+
 /// \returns a help text with one line per command.
 std::string describeCommands();
 
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -20,19 +20,6 @@
   return Key;
 }
 
-/// Parses "address:port" into \p Options.
-/// \returns false if the port is missing or out of range.
-bool parseServer(const std::string &Text, OperatorClientOptions &Options) {
-  const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string::npos)
-    return false;
-  Options.Address = Text.substr(0, Colon);
-  const unsigned long Port =
-      std::strtoul(Text.c_str() + Colon + 1, nullptr, 10);
-  Options.Port = static_cast<unsigned short>(Port);
-  return Port > 0 && Port <= 65535;
-}
-
 } // namespace
 
 int main(int ArgumentCount, char **ArgumentValues) {
@@ -71,10 +58,14 @@
       std::cerr << "sardinerillctl: --server must be address:port\n";
       return ExitUsage;
     }
+    CommandLineOptions CommandOptions{Arguments, File.getValue(),
+                                      Team.getValue(), Id.getValue()};
+    if (!parseOutput(Output.getValue(), CommandOptions)) {
+      std::cerr << "sardinerillctl: --output must be table or json\n";
+      return ExitUsage;
+    }
     OperatorClient Client(Options);
-    return runCommand(Client, CommandLineOptions{Arguments, File.getValue(),
-                                                 Team.getValue(), Id.getValue(),
-                                                 Output.getValue() == "json"});
+    return runCommand(Client, CommandOptions);
   } catch (const TCLAP::ArgException &Exception) {
     std::cerr << "sardinerillctl: " << Exception.error() << " "
               << Exception.argId() << "\n";
