A change is not reported as in force while the event loop is silent

Cause: after a change the HTTP thread asks the event loop which daemons are behind. If the loop did not answer within its limit, the answer was an error without "pending"; that was read as an empty list, and an operator was told that the change was in force everywhere. A body that is no object would have thrown on the HTTP thread.

Ruled out: leaving "pending" out, or null. The operators' client prints "in force everywhere" for both.

Change: without an answer the daemon names itself as pending, which is true: it has not confirmed the change. "inForce" is false and the client ends with its status for pending changes. The time limits became options, so that the test needs no 10 s; defaults are as before.

--- a/packages/control/include/sardinerill/control/operatorrequesthandler.h
+++ b/packages/control/include/sardinerill/control/operatorrequesthandler.h
@@ -13,6 +13,17 @@
 
 namespace sardinerill {
 
+/// Time limits of the operators' API.
+struct OperatorTimeLimits {
+  /// Time that an HTTP thread waits for a handler on the event loop.
+  milliseconds EventLoop{10000};
+  /// Time for which the answer to a change waits until the change is in force
+  /// on every daemon.
+  milliseconds InForce{8000};
+  /// Interval at which that is checked.
+  milliseconds PendingPoll{20};
+};
+
 /// Dependencies of the operators' API. Except for Post, used only on the event
 /// loop thread.
 struct OperatorRequestHandlerDependencies {
@@ -29,6 +40,7 @@
   std::function<void(const DaemonId &)> DeregisterDaemon;
   /// Queues a function for execution on the event loop thread.
   std::function<void(std::function<void()>)> Post;
+  OperatorTimeLimits TimeLimits{};
 };
 
 /// Dispatches API calls to handlers through a routing table. handle() is called
@@ -62,7 +74,8 @@
   /// \returns the author to record: the operator's key id, or "bootstrap".
   Result<std::string> authenticateOperator(const std::string &Key) const;
   /// Waits until every daemon has the version in \p Answer in force, or until
-  /// InForceTimeout has passed, and adds "pending" and "inForce" to the body.
+  /// OperatorTimeLimits::InForce has passed, and adds "pending" and "inForce"
+  /// to the body.
   OperatorResponse waitUntilInForce(OperatorResponse Answer,
                                     const OperatorRequest &Request);
 
--- a/packages/control/src/operatorrequesthandler.cpp
+++ b/packages/control/src/operatorrequesthandler.cpp
@@ -15,14 +15,6 @@
 
 namespace {
 
-/// Time that an HTTP thread waits for a handler on the event loop.
-constexpr auto EventLoopTimeout = std::chrono::seconds(10);
-/// Time for which the answer to a change waits until the change is in force on
-/// every daemon.
-constexpr auto InForceTimeout = std::chrono::seconds(8);
-/// Interval at which that is checked.
-constexpr auto PendingPollInterval = std::chrono::milliseconds(20);
-
 /// Response with problem details (RFC 9457).
 OperatorResponse problem(const Error &Failure) {
   return {static_cast<unsigned>(errorResponseFor(Failure.Kind).HttpStatus),
@@ -93,10 +85,11 @@
       }
     (this->*MatchedRoute.Handle)(Request, Answer);
   });
-  if (AnswerFuture.wait_for(EventLoopTimeout) != std::future_status::ready)
+  const milliseconds Limit = this->Dependencies.TimeLimits.EventLoop;
+  if (AnswerFuture.wait_for(Limit) != std::future_status::ready)
     return problem(Error{ErrorKind::Internal,
                          "the daemon's event loop did not answer within " +
-                             std::to_string(EventLoopTimeout.count()) + " s"});
+                             std::to_string(Limit.count()) + " ms"});
   return AnswerFuture.get();
 }
 
@@ -129,7 +122,8 @@
   json Body = json::parse(Answer.Body, nullptr, false);
   if (!Body.is_object() || !Body.contains("version"))
     return Answer;
-  const auto Deadline = std::chrono::steady_clock::now() + InForceTimeout;
+  const OperatorTimeLimits &Limits = this->Dependencies.TimeLimits;
+  const auto Deadline = std::chrono::steady_clock::now() + Limits.InForce;
   OperatorRequest PendingRequest = Request;
   PendingRequest.Query = "version=" + Body["version"].dump();
   const Route PendingRoute{"GET", "/v1/fleet/pending", false,
@@ -138,12 +132,16 @@
     const OperatorResponse PendingAnswer =
         this->runOnEventLoop(PendingRoute, PendingRequest);
     const json State = json::parse(PendingAnswer.Body, nullptr, false);
-    Body["pending"] = State.value("pending", json::array());
+    const bool IsKnown = State.is_object() && State.contains("pending");
+    // This daemon has not confirmed the change if its event loop is silent.
+    Body["pending"] = IsKnown
+                          ? State["pending"]
+                          : toJsonArray({this->Dependencies.Members.self()});
     Body["inForce"] = Body["pending"].empty();
     if (Body["inForce"].get<bool>() ||
         std::chrono::steady_clock::now() >= Deadline)
       break;
-    std::this_thread::sleep_for(PendingPollInterval);
+    std::this_thread::sleep_for(Limits.PendingPoll);
   }
   return success(Body);
 }
