A call that the event loop runs late uses no memory of its caller

Cause: the posted call held a reference to its route. That of waitUntilInForce is local, and if the event loop took longer than the time limit, it read a stack that was gone.

--- a/packages/control/src/operatorrequesthandler.cpp
+++ b/packages/control/src/operatorrequesthandler.cpp
@@ -75,7 +75,8 @@
                                        const OperatorRequest &Request) {
   auto Answer = std::make_shared<ResponsePromise>();
   std::future<OperatorResponse> AnswerFuture = Answer->get_future();
-  this->Dependencies.Post([this, Request, Answer, &MatchedRoute] {
+  // The call may run after this function has returned: all is held by copy.
+  this->Dependencies.Post([this, Request, Answer, MatchedRoute] {
     if (MatchedRoute.RequiresOperatorKey)
       if (Result<std::string> Author = this->authenticateOperator(Request.Key);
           !Author) {
--- a/packages/control/tests/operatorrequesthandler_test.cpp
+++ b/packages/control/tests/operatorrequesthandler_test.cpp
@@ -138,3 +138,12 @@
   CHECK(Answer["inForce"] == false);
   CHECK(Answer["pending"] == json::array({"self#1"}));
 }
+
+TEST_CASE("a call that the event loop runs after its time limit does no harm") {
+  HandlerFixture Fixture;
+  Fixture.CallsToRun = 1;
+  (void)Fixture.change();
+  REQUIRE_FALSE(Fixture.Kept.empty());
+  for (const auto &Late : Fixture.Kept)
+    Late();
+}
