A transaction that begins with a deletion can be verified

After a lost reply, a deletion that was applied was reported as unknown, and one that the transport had sent twice as a conflict. So an orderly stop could not tell that its roster row or lease was gone.

Cause: the outcome was read from the write ID of the first row of the transaction. A deleted row has none.

Ruled out: a mark in place of the deletion, which every reader of the table would have to know.

Change: the first row that the transaction sets is read instead. If it only deletes, it counts as committed once all its rows are gone, whoever deleted them; the two callers (roster, lease) want no more than that.

--- a/packages/platform/include/sardinerill/platform/iplatform.h
+++ b/packages/platform/include/sardinerill/platform/iplatform.h
@@ -47,10 +47,11 @@
 class IPlatform : public ITable, public IObjectStore, public IVmControl {};
 
 /// Commits \p Txn. If the reply is lost, determines the outcome by reading
-/// back the write ID of the first row in \p Txn. A conflict is verified in
-/// the same way, since the transport may have sent the transaction twice: the
-/// second copy then conflicts with the first.
-/// \returns PlatformUnavailable only if the outcome could not be determined.
+/// back the write ID of the first row that \p Txn sets. If it only deletes, it
+/// counts as committed once its rows are gone, whoever deleted them. A conflict
+/// is verified in the same way, since the transport may have sent the
+/// transaction twice: the second copy then conflicts with the first. \returns
+/// PlatformUnavailable only if the outcome could not be determined.
 Result<CommitOutcome> commitAndVerify(ITable &Table, const Transaction &Txn);
 
 /// \returns a new random write ID, unique among all transactions.
--- a/packages/platform/tests/commitandverify_test.cpp
+++ b/packages/platform/tests/commitandverify_test.cpp
@@ -56,3 +56,71 @@
   REQUIRE_FALSE(Outcome.has_value());
   CHECK(Outcome.error().Kind == ErrorKind::PlatformUnavailable);
 }
+
+// A stopped daemon would leave its roster row or its lease behind, or wait for
+// nothing, if a deletion that was applied were reported as unknown.
+TEST_CASE("a deletion whose reply is lost is reported and applied once") {
+  InMemoryPlatform Platform;
+  REQUIRE(commitAndVerify(Platform, makeTransaction(0, "a")).has_value());
+  const Transaction Deletion{makeWriteId(), {{Key, 1}}, {{Key, {}}}};
+  Platform.setFaults({.RepliesToDrop = 1});
+  auto Outcome = commitAndVerify(Platform, Deletion);
+  REQUIRE(Outcome.has_value());
+  CHECK(*Outcome == CommitOutcome::Committed);
+  CHECK(Platform.commitCount() == 2);
+  // Sent twice by the transport: the second copy conflicts with the first.
+  Outcome = commitAndVerify(Platform, Deletion);
+  REQUIRE(Outcome.has_value());
+  CHECK(*Outcome == CommitOutcome::Committed);
+}
+
+TEST_CASE("a transaction that deletes a row before it writes another is "
+          "verified by the write") {
+  const RowKey Other{"t", "other"};
+  InMemoryPlatform Platform;
+  REQUIRE(commitAndVerify(Platform, makeTransaction(0, "a")).has_value());
+  const Transaction Move{
+      makeWriteId(), {{Key, 1}, {Other, 0}}, {{Key, {}}, {Other, "a"}}};
+  Platform.setFaults({.RepliesToDrop = 1});
+  auto Outcome = commitAndVerify(Platform, Move);
+  REQUIRE(Outcome.has_value());
+  CHECK(*Outcome == CommitOutcome::Committed);
+  CHECK(Platform.commitCount() == 2);
+  Outcome = commitAndVerify(Platform, Move);
+  REQUIRE(Outcome.has_value());
+  CHECK(*Outcome == CommitOutcome::Committed);
+  // Another transaction of the same form did not move anything.
+  Outcome = commitAndVerify(
+      Platform,
+      {makeWriteId(), {{Key, 1}, {Other, 0}}, {{Key, {}}, {Other, "b"}}});
+  REQUIRE(Outcome.has_value());
+  CHECK(*Outcome == CommitOutcome::Conflict);
+  CHECK(Platform.read({Other})->front().Value == "a");
+}
+
+TEST_CASE("a deletion of a row that was written meanwhile conflicts") {
+  InMemoryPlatform Platform;
+  REQUIRE(commitAndVerify(Platform, makeTransaction(0, "a")).has_value());
+  REQUIRE(commitAndVerify(Platform, makeTransaction(1, "b")).has_value());
+  const Transaction Deletion{makeWriteId(), {{Key, 1}}, {{Key, {}}}};
+  auto Outcome = commitAndVerify(Platform, Deletion);
+  REQUIRE(Outcome.has_value());
+  CHECK(*Outcome == CommitOutcome::Conflict);
+  CHECK(Platform.read({Key})->front().Value == "b");
+  // Unknown, if the reply to a deletion was lost and the row exists again.
+  struct RowReturns : InMemoryPlatform {
+    bool Returned = false;
+    Result<CommitOutcome> commit(const Transaction &Txn) override {
+      Result<CommitOutcome> Outcome = this->InMemoryPlatform::commit(Txn);
+      if (std::exchange(this->Returned, true))
+        return Outcome;
+      (void)this->InMemoryPlatform::commit(makeTransaction(0, "new"));
+      return makeError(ErrorKind::PlatformUnavailable, "the reply was lost");
+    }
+  };
+  RowReturns Other;
+  REQUIRE(Other.InMemoryPlatform::commit(makeTransaction(0, "a")).has_value());
+  Outcome = commitAndVerify(Other, Deletion);
+  REQUIRE_FALSE(Outcome.has_value());
+  CHECK(Outcome.error().Kind == ErrorKind::PlatformUnavailable);
+}
