An answer of the platform that is no object doesn't end the process

Cause: commit, getObject and listVms looked for a member in whatever JSON had come. For an array, a number or null the library throws; these calls run on threads where an exception ends the process. So one malformed answer took a daemon down. putObject and rebootVm took such an answer for success.

Ruled out: catching on the threads. The call would have no outcome, and its job, claim or lease would wait for ever.

Change: an answer that is no object is an error as other malformed answers: the platform can't answer now, outcome unknown.

--- a/packages/platform/src/httpplatform.cpp
+++ b/packages/platform/src/httpplatform.cpp
@@ -46,6 +46,9 @@
     Result<json> Parsed = parseJson(Client.body());
     if (!Parsed)
       return malformedResponse("invalid JSON");
+    if (!Parsed->is_object())
+      return malformedResponse("expected a JSON object, got " +
+                               std::string(Parsed->type_name()));
     return Parsed;
   } catch (const std::exception &Exception) {
     return makeError(ErrorKind::PlatformUnavailable, Exception.what());
