A roster row that can't be decoded is logged

Cause: readRoster left such rows out without a word. The daemon of that row is then unknown to those that learn of it from the roster alone.

--- a/packages/control/include/sardinerill/control/roster.h
+++ b/packages/control/include/sardinerill/control/roster.h
@@ -29,7 +29,8 @@
 /// belongs to another incarnation. Blocks.
 Result<void> deregisterDaemon(ITable &Table, const DaemonIdentity &Self);
 
-/// Reads the rows of all daemons; malformed rows are skipped. Blocks.
+/// Reads the rows of all daemons; malformed rows are logged and skipped.
+/// Blocks.
 Result<std::map<DaemonId, PeerEndpoint>> readRoster(ITable &Table);
 
 } // namespace sardinerill
--- a/packages/control/src/roster.cpp
+++ b/packages/control/src/roster.cpp
@@ -1,5 +1,6 @@
 #include "sardinerill/control/roster.h"
 
+#include "sardinerill/base/logging.h"
 #include "sardinerill/platform/platformcodec.h"
 
 namespace sardinerill {
@@ -116,10 +117,16 @@
   if (!Rows)
     return tl::unexpected(Rows.error());
   std::map<DaemonId, PeerEndpoint> Roster;
-  for (const Row &StoredRow : *Rows)
-    if (Result<RosterRow> Entry = decodeRow(StoredRow); Entry)
+  for (const Row &StoredRow : *Rows) {
+    Result<RosterRow> Entry = decodeRow(StoredRow);
+    if (Entry)
       Roster[makeDaemonId({StoredRow.Key.Key, Entry->Incarnation})] =
           Entry->Endpoint;
+    else
+      logEvent(
+          LogLevel::Warning, "roster.row_unreadable",
+          {{"daemon", StoredRow.Key.Key}, {"detail", Entry.error().Detail}});
+  }
   return Roster;
 }
 
--- a/packages/control/tests/control_test.cpp
+++ b/packages/control/tests/control_test.cpp
@@ -1,3 +1,4 @@
+#include "../../base/tests/logcapture.h"
 #include "sardinerill/control/fleetreplica.h"
 #include "sardinerill/control/leaderlease.h"
 #include "sardinerill/control/maintenancecontroller.h"
@@ -316,3 +317,24 @@
   REQUIRE_FALSE(Unknown.has_value());
   CHECK((Unknown.error().Kind == ErrorKind::PlatformUnavailable));
 }
+
+// Peers don't gossip with a daemon whose row they can't read.
+TEST_CASE("a roster row that can't be decoded is logged and doesn't hide the "
+          "others") {
+  InMemoryPlatform Platform;
+  REQUIRE(registerDaemon(Platform, {"good", 1},
+                         PeerEndpoint{ZoneId("z"), "127.0.0.1", 1})
+              .has_value());
+  REQUIRE(Platform
+              .commit({makeWriteId(),
+                       {},
+                       {{RowKey{"daemons", "broken"}, R"({"zone": 3})"}}})
+              .has_value());
+  Result<std::map<DaemonId, PeerEndpoint>> Roster;
+  const std::string Log = captureLog([&] { Roster = readRoster(Platform); });
+  REQUIRE(Roster.has_value());
+  CHECK(Roster->size() == 1);
+  CHECK(Roster->contains(DaemonId("good#1")));
+  CHECK(Log.find("event=roster.row_unreadable daemon=broken") !=
+        std::string::npos);
+}
