An escrow row that can't be decoded is logged

Cause: such a row was left out of the scans of grants without a word, also when the units of a removed daemon are reclaimed, and an operation on it ended as "unknown". The units of that team or VM are out of use meanwhile, and no log said why.

Change: a warning escrow.row_unreadable with resource and detail wherever a row is read.

--- a/packages/escrow/src/grantoperation.cpp
+++ b/packages/escrow/src/grantoperation.cpp
@@ -1,5 +1,7 @@
 #include "sardinerill/escrow/grantoperation.h"
 
+#include "sardinerill/base/logging.h"
+
 namespace sardinerill {
 
 namespace {
@@ -18,10 +20,15 @@
   return withRaised(Changed, Operation.Holder, Operation.RaiseBy);
 }
 
+/// Logs a row that can't be decoded: its units are out of use.
 Result<GrantRow> decodeRow(const Row &Read) {
   if (Read.Rev == 0)
     return GrantRow{};
-  return decodeGrantRow(Read.Value);
+  Result<GrantRow> Decoded = decodeGrantRow(Read.Value);
+  if (!Decoded)
+    logEvent(LogLevel::Warning, "escrow.row_unreadable",
+             {{"resource", Read.Key.Key}, {"detail", Decoded.error().Detail}});
+  return Decoded;
 }
 
 Result<CommitOutcome> writeRow(ITable &Table, const Row &Read,
@@ -78,7 +85,7 @@
     return tl::unexpected(Rows.error());
   std::vector<ResourceGrant> Found;
   for (const Row &Read : *Rows) {
-    Result<GrantRow> Decoded = decodeGrantRow(Read.Value);
+    Result<GrantRow> Decoded = decodeRow(Read);
     if (!Decoded)
       continue;
     for (const Grant &Entry : Decoded->Grants)
@@ -95,7 +102,7 @@
     return tl::unexpected(Rows.error());
   unsigned Reclaimed = 0;
   for (const Row &Read : *Rows) {
-    Result<GrantRow> Decoded = decodeGrantRow(Read.Value);
+    Result<GrantRow> Decoded = decodeRow(Read);
     if (!Decoded)
       continue;
     const unsigned Units = grantOf(*Decoded, Holder).Units;
--- a/packages/escrow/tests/escrow_test.cpp
+++ b/packages/escrow/tests/escrow_test.cpp
@@ -1,3 +1,4 @@
+#include "../../base/tests/logcapture.h"
 #include "sardinerill/escrow/escrowagent.h"
 #include "sardinerill/platform/inmemoryplatform.h"
 
@@ -491,3 +492,39 @@
     (void)decodeGrantRow(Text);
   }));
 }
+
+// The units of such a row are out of use for as long as nobody looks.
+TEST_CASE("an escrow row that can't be decoded is logged and doesn't keep the "
+          "others from being reclaimed") {
+  InMemoryPlatform Platform;
+  const GrantOperation Raise{.Resource = ResourceId("team/good"),
+                             .Limit = 5,
+                             .LimitVersion = 1,
+                             .Holder = DaemonId("gone#1"),
+                             .RaiseBy = 3};
+  REQUIRE(runGrantOperation(Platform, Raise).Known);
+  REQUIRE(Platform
+              .commit({makeWriteId(),
+                       {},
+                       {{grantRowKey(ResourceId("team/broken")), "[1"}}})
+              .has_value());
+  Result<std::vector<ResourceGrant>> Found;
+  std::string Log = captureLog([&] {
+    Found = scanGrants(Platform, [](const DaemonId &) { return true; });
+  });
+  REQUIRE(Found.has_value());
+  CHECK(Found->size() == 1);
+  const std::string Line = "event=escrow.row_unreadable resource=team/broken";
+  CHECK(Log.find(Line) != std::string::npos);
+  Result<unsigned> Units = 0;
+  Log =
+      captureLog([&] { Units = reclaimGrants(Platform, DaemonId("gone#1")); });
+  CHECK(Units == 3U);
+  CHECK(Log.find(Line) != std::string::npos);
+  // Nothing is granted from it either.
+  GrantOperation OnBroken = Raise;
+  OnBroken.Resource = ResourceId("team/broken");
+  Log = captureLog(
+      [&] { CHECK_FALSE(runGrantOperation(Platform, OnBroken).Known); });
+  CHECK(Log.find(Line) != std::string::npos);
+}
