--- a/packages/control/src/roster.cpp
+++ b/packages/control/src/roster.cpp
@@ -1,5 +1,6 @@
 #include "sardinerill/control/roster.h"
 
+#include "sardinerill/base/logging.h"
 #include "sardinerill/platform/platformcodec.h"
 
 namespace sardinerill {
@@ -67,6 +68,34 @@
           Requested.Vm);
 }
 
+Result<void> renewRegistration(ITable &Table, const DaemonIdentity &Self,
+                               const PeerEndpoint &Endpoint) {
+  const RowKey Key{RosterTable, Self.Vm};
+  Result<std::vector<Row>> StoredRows = Table.read({Key});
+  if (!StoredRows)
+    return tl::unexpected(StoredRows.error());
+  const RosterRow OwnRow{Self.Incarnation, Endpoint};
+  if (Result<RosterRow> Stored = decodeRow(StoredRows->front()); Stored) {
+    if (Stored->Incarnation > Self.Incarnation)
+      return makeError(ErrorKind::VersionConflict,
+                       "incarnation " + std::to_string(Stored->Incarnation) +
+                           " is registered, this process is " +
+                           std::to_string(Self.Incarnation));
+    if (Stored->Incarnation == Self.Incarnation && Stored->Endpoint == Endpoint)
+      return {};
+  }
+  Result<CommitOutcome> Outcome =
+      commitAndVerify(Table, Transaction{makeWriteId(),
+                                         {{Key, StoredRows->front().Rev}},
+                                         {{Key, encodeRow(OwnRow)}}});
+  if (!Outcome)
+    return tl::unexpected(Outcome.error());
+  if (*Outcome == CommitOutcome::Conflict)
+    return makeError(ErrorKind::PlatformUnavailable,
+                     "the row was changed in the meantime");
+  return {};
+}
+
 Result<void> deregisterDaemon(ITable &Table, const DaemonIdentity &Self) {
   const RowKey Key{RosterTable, Self.Vm};
   Result<std::vector<Row>> StoredRows = Table.read({Key});
@@ -88,10 +117,16 @@
   if (!Rows)
     return tl::unexpected(Rows.error());
   std::map<DaemonId, PeerEndpoint> Roster;
-  for (const Row &StoredRow : *Rows)
-    if (Result<RosterRow> Entry = decodeRow(StoredRow); Entry)
+  for (const Row &StoredRow : *Rows) {
+    Result<RosterRow> Entry = decodeRow(StoredRow);
+    if (Entry)
       Roster[makeDaemonId({StoredRow.Key.Key, Entry->Incarnation})] =
           Entry->Endpoint;
+    else
+      logEvent(
+          LogLevel::Warning, "roster.row_unreadable",
+          {{"daemon", StoredRow.Key.Key}, {"detail", Entry.error().Detail}});
+  }
   return Roster;
 }
 
