--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,8 @@
             self.upstream_link] + [
             self.hang_up, self.kill_many, self.kill_successor, self.mute, self.upstream_leave,
             self.vm_api_fault, self.move_queue, self.replace_key, self.forget_history]
+        if site.args.faults:
+            self.kinds = [getattr(self, name) for name in site.args.faults.split(",")]
 
     async def run(self, seconds):
         end = time.monotonic() + seconds
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -403,6 +403,7 @@
     parser.add_argument("--seconds", type=float, default=40)
     parser.add_argument("--daemons", type=int, default=4)
     parser.add_argument("--upstreams", type=int, default=8)
+    parser.add_argument("--faults", help="only these, such as kill,upstream_crash")
     parser.add_argument("--keep", help="folder for the logs of all processes")
     args = parser.parse_args()
     out = args.keep or tempfile.mkdtemp(prefix="soak-")
@@ -421,7 +422,8 @@
         return 0
     site.explain()
     print(f"command: soak/soak.py --build {args.build} --seed {args.seed} --seconds "
-          f"{args.seconds:g} --daemons {args.daemons} --upstreams {args.upstreams}\n"
+          f"{args.seconds:g} --daemons {args.daemons} --upstreams {args.upstreams}"
+          f"{' --faults ' + args.faults if args.faults else ''}\n"
           f"logs of all processes: {out}")
     return 1
 
