Faults that are under way end with the soak

A fault that was restarting a daemon when a rule broke could start it after all others had been killed. Faults are now cancelled and waited for first.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -36,7 +36,7 @@
 
     def task_names(self, steps=None):
         return [f"{self.id}.0.{number}.{index}" for number, step in enumerate(self.steps)
-            if steps is None or number in steps for index in range(step["count"])]
+                if steps is None or number in steps for index in range(step["count"])]
 
     def tasks_before(self, task):
         return self.task_names(self.steps[int(task.split(".")[2])]["after"])
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,7 +31,7 @@
         while time.monotonic() < end:
             # Each fault draws from its own numbers: the schedule doesn't depend on timing.
             rng = random.Random(self.rng.getrandbits(64))
-            running.append(asyncio.ensure_future(rng.choice(self.kinds)(rng)))
+            running.append(self.site.spawn(rng.choice(self.kinds)(rng)))
             # Series of faults close together, then a pause.
             await asyncio.sleep(rng.choice([0.05, 0.3, 1.0, 3.0]) * rng.random())
             while sum(not task.done() for task in running) >= 6:
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -191,6 +191,7 @@
         task = asyncio.ensure_future(coroutine)
         self.background.add(task)
         task.add_done_callback(self.background.discard)
+        return task
 
     def find_daemon(self, peer, local):
         return owner_of_connection(peer, local, {
@@ -380,9 +381,11 @@
         await self.finish()
 
     async def close(self):
-        running = [d.process for d in self.daemons if d.process and d.process.returncode is None]
-        for task in list(self.background):
+        tasks = list(self.background)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        running = [d.process for d in self.daemons if d.process and d.process.returncode is None]
         for process in running:
             process.kill()
         await asyncio.gather(*[process.wait() for process in running])
