A stop that bars a late start is repeated only after a listing without the run

Change: while a stop only bars a start, it is repeated right after a listing that does not show the run, and waits if no listing can be had. A start takes longer than that to come to work.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -150,6 +150,9 @@
   /// \returns whether a stop of \p Run that got no answer is still to be sent:
   /// false if it was withdrawn.
   bool wantsStop(const UpstreamId &Id, const RunId &Run) const;
+  /// \returns whether the stop of \p Run is only to bar a start that may be
+  /// carried out late, so that it must not end the task at work.
+  bool stopOnlyBars(const UpstreamId &Id, const RunId &Run) const;
   /// \returns whether an upstream has lost contact that may have ended.
   bool hasLostContact() const;
   /// Records that the process of \p Id ended and another one runs under the
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -388,6 +388,14 @@
   return Known == Found->second->Runs.end() || Known->second->StopRequested;
 }
 
+bool Scheduler::stopOnlyBars(const UpstreamId &Id, const RunId &Run) const {
+  const auto Found = this->Inner->Upstreams.find(Id);
+  if (Found == this->Inner->Upstreams.end())
+    return false;
+  const auto Known = Found->second->Runs.find(Run);
+  return Known != Found->second->Runs.end() && Known->second->StopOnlyBars;
+}
+
 void Scheduler::handleStopOutcome(const UpstreamId &Id, const RunId &Run,
                                   StopOutcome Outcome, Instant Now) {
   const auto Found = this->Inner->Upstreams.find(Id);
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -72,7 +72,9 @@
   this->adoptIncarnation(IncarnationStartMs);
   // The poll under way was sent to the process that has ended.
   spawn(this->Context->Executor, "upstream-poll",
-        [Self = this->shared_from_this()] { return Self->pollOnce(); });
+        [Self = this->shared_from_this()]() -> Async<void> {
+          co_await Self->pollOnce();
+        });
 }
 
 void UpstreamLink::adoptIncarnation(std::int64_t IncarnationStartMs) {
@@ -276,21 +278,24 @@
       co_return;
     co_await sleepFor(StopRetryPause);
     // The start that this stop is to bar may have been carried out late.
-    co_await this->fetchListing();
+    while (!co_await this->fetchListing() && this->isActive() &&
+           this->Context->JobScheduler.stopOnlyBars(this->Report.Id, Stop.Run))
+      co_await sleepFor(StopRetryPause);
   }
 }
 
-Async<void> UpstreamLink::fetchListing() {
+Async<bool> UpstreamLink::fetchListing() {
   // A run that was stopped before it began is not listed as ended, so the
   // pending long poll would report it only when its wait time is over.
-  if (this->Lease.clockKnown())
-    co_await this->pollOnce();
+  if (!this->Lease.clockKnown())
+    co_return false;
+  co_return co_await this->pollOnce();
 }
 
-Async<void> UpstreamLink::pollOnce() {
+Async<bool> UpstreamLink::pollOnce() {
   if (!this->isActive() ||
       !this->Context->Ownership.maySendCommands(this->Context->Clock.now()))
-    co_return;
+    co_return false;
   const Instant SentAt = this->Context->Clock.now();
   PollRequest Request{
       .Token = this->Context->Ownership.token(),
@@ -298,8 +303,11 @@
           this->Context->JobScheduler.acknowledgedSequence(this->Report.Id)};
   const PollResponse Answer =
       co_await this->Client->poll(Request, ImmediatePollTimeout);
-  if (this->isActive() && Answer.Outcome == PollOutcome::Answered)
+  const bool Answered =
+      this->isActive() && Answer.Outcome == PollOutcome::Answered;
+  if (Answered)
     this->applyAnswer(Answer, SentAt, ImmediatePollTimeout);
+  co_return Answered;
 }
 
 Async<void> UpstreamLink::sendPace(PaceCommand Pace) {
--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -51,8 +51,9 @@
   Async<void> waitUntilStored(std::int64_t Sequence);
   Async<void> sendStart(StartCommand Start);
   Async<void> sendStop(StopCommand Stop);
-  Async<void> fetchListing();
-  Async<void> pollOnce();
+  /// \returns whether the upstream has answered with a listing.
+  Async<bool> fetchListing();
+  Async<bool> pollOnce();
   Async<void> sendPace(PaceCommand Pace);
   void adoptIncarnation(std::int64_t IncarnationStartMs);
   /// \param Timeout of the poll.
