--- a/packages/scheduling/tests/scheduler_test.cpp
+++ b/packages/scheduling/tests/scheduler_test.cpp
@@ -402,7 +402,7 @@
   FakeUpstream &Upstream = Site.add("u1", 8000);
   JobSpec Spec = jobOf(TestJob.str(), {stepOf(1, 1000, 500)});
   Spec.Schedule = {
-      .FirstDueMs = Site.NowMs + 2000, .IntervalMs = 1, .Count = 1};
+      .Count = 1, .FirstDueMs = Site.NowMs + 2000, .IntervalMs = 1};
   Site.submit(Spec, true);
   const RunId Run{task(0, 0), 1};
   Upstream.Running[Run] = {Site.NowMs + 60000, 50};
