--- a/packages/scheduling/src/schedulercrashes.cpp
+++ b/packages/scheduling/src/schedulercrashes.cpp
@@ -33,30 +33,61 @@
         return Each.first == Upstream.rack() &&
                Now - Each.second < RackFailureTime;
       });
+  const Instant LostAt = Upstream.ContactLostAt.value_or(Now);
   for (const auto &[Id, Other] : this->Upstreams)
-    if (Other.get() != &Upstream && Other->rack() == Upstream.rack() &&
-        Other->ContactLostAt && Upstream.ContactLostAt) {
-      const Duration Between = *Other->ContactLostAt - *Upstream.ContactLostAt;
-      Others += std::chrono::abs(Between) < RackFailureTime;
+    if (Other.get() != &Upstream && Other->rack() == Upstream.rack()) {
+      const bool Lost = Other->ContactLostAt.has_value();
+      const Duration Between = LostAt - Other->ContactLostAt.value_or(LostAt);
+      Others += Lost && std::chrono::abs(Between) < RackFailureTime;
     }
   return Others >= RackFailureOthers;
 }
 
+UpstreamCrash Scheduler::Impl::crashOf(const UpstreamRecord &Upstream,
+                                       Instant Now) const {
+  const Instant LostAt = Upstream.ContactLostAt.value_or(Now);
+  return {.Earliest = Upstream.ConnectionBroke
+                          ? LostAt
+                          : std::min(LostAt, Upstream.AnsweredAt),
+          .Latest = LostAt,
+          .WholeRack = this->isRackFailing(Upstream, Now)};
+}
+
+bool Scheduler::Impl::isOneCause(const std::vector<RunPtr> &Suspects) {
+  if (Suspects.empty())
+    return false;
+  const TaskId &First = Suspects.front()->Id.Task;
+  const StepSpec *Step = this->spec(First);
+  // The members of a gang are one cause.
+  const bool Gang = Step && Step->Gang;
+  return std::ranges::all_of(Suspects, [&](const RunPtr &Each) {
+    const TaskId &Id = Each->Id.Task;
+    return Id == First ||
+           (Gang && Id.Job == First.Job && Id.Occurrence == First.Occurrence &&
+            Id.Step == First.Step);
+  });
+}
+
+void Scheduler::Impl::countRecentStarts(const UpstreamRecord &Upstream,
+                                        const UpstreamCrash &Crash) {
+  for (const auto &[Id, Each] : Upstream.Runs) {
+    TaskRecord *Task = this->task(Id.Task);
+    const Duration Age = Crash.Latest - Each->StartedAt;
+    if (Task && !Each->Settled && Age >= Duration::zero() &&
+        Age < RepeatedSuspectAge)
+      ++Task->Crashes.RecentStarts;
+  }
+}
+
 std::vector<TaskId> Scheduler::Impl::attributeCrash(UpstreamRecord &Upstream,
                                                     Instant Now) {
-  std::vector<TaskId> GivenUp;
-  const Instant LostAt = Upstream.ContactLostAt.value_or(Now);
-  const UpstreamCrash Crash{.Earliest =
-                                Upstream.ConnectionBroke
-                                    ? LostAt
-                                    : std::min(LostAt, Upstream.AnsweredAt),
-                            .Latest = LostAt,
-                            .WholeRack = this->isRackFailing(Upstream, Now)};
+  const UpstreamCrash Crash = this->crashOf(Upstream, Now);
   const std::vector<RunPtr> Suspects =
       suspectsOf(Upstream, Crash, [this](const RunPtr &Candidate) {
         const TaskRecord *Task = this->task(Candidate->Id.Task);
         return Task ? &Task->Crashes : nullptr;
       });
+  const bool OneCause = this->isOneCause(Suspects);
   ++this->Counts.Upstreams;
   std::erase_if(this->RecentCrashes, [&](const auto &Each) {
     return Now - Each.second > RackFailureTime;
@@ -69,41 +100,34 @@
             {"time_within_ms",
              std::to_string(inMillis(Crash.Latest - Crash.Earliest))},
             {"rack_failing", Crash.WholeRack ? "yes" : "no"}});
-  for (const auto &[Id, Each] : Upstream.Runs)
-    if (TaskRecord *Task = this->task(Id.Task);
-        Task && !Each->Settled && Each->StartedAt <= Crash.Latest &&
-        Crash.Latest - Each->StartedAt < RepeatedSuspectAge)
-      ++Task->Crashes.RecentStarts;
-  // The members of a gang are one cause.
-  const bool OneCause = std::ranges::all_of(Suspects, [&](const RunPtr &Each) {
-    const StepSpec *Step = this->spec(Each->Id.Task);
-    return Each->Id.Task == Suspects.front()->Id.Task ||
-           (Step && Step->Gang &&
-            Each->Id.Task.Job == Suspects.front()->Id.Task.Job &&
-            Each->Id.Task.Step == Suspects.front()->Id.Task.Step);
-  });
-  for (const RunPtr &Suspect : Suspects) {
-    JobRecord *Job = this->job(Suspect->Id.Task.Job);
-    TaskRecord *Task = this->task(Suspect->Id.Task);
-    if (!Job || !Task || Job->ended() || Task->Done)
-      continue;
-    Task->Crashes = recordCrash(Task->Crashes, Crash, OneCause, Now);
-    Task->LastRunNumber = std::max(Task->LastRunNumber, Suspect->Id.Number);
-    this->markChanged(*Job);
-    ++this->Counts.Suspicions;
-    logEvent(LogLevel::Info, "task.suspected",
-             {{"run", describe(Suspect->Id)},
-              {"upstream", Upstream.Report.Id.str()},
-              {"age_ms",
-               std::to_string(inMillis(Crash.Latest - Suspect->StartedAt))},
-              {"crashes", std::to_string(Task->Crashes.Crashes)},
-              {"only_suspect", OneCause ? "yes" : "no"}});
-    if (isGivenUp(Task->Crashes))
+  this->countRecentStarts(Upstream, Crash);
+  std::vector<TaskId> GivenUp;
+  for (const RunPtr &Suspect : Suspects)
+    if (this->suspect(*Suspect, Crash, OneCause, Now))
       GivenUp.push_back(Suspect->Id.Task);
-  }
   return GivenUp;
 }
 
+bool Scheduler::Impl::suspect(const Run &Suspect, const UpstreamCrash &Crash,
+                              bool OneCause, Instant Now) {
+  JobRecord *Job = this->job(Suspect.Id.Task.Job);
+  TaskRecord *Task = this->task(Suspect.Id.Task);
+  if (!Job || !Task || Job->ended() || Task->Done)
+    return false;
+  Task->Crashes = recordCrash(Task->Crashes, Crash, OneCause, Now);
+  Task->LastRunNumber = std::max(Task->LastRunNumber, Suspect.Id.Number);
+  this->markChanged(*Job);
+  ++this->Counts.Suspicions;
+  logEvent(
+      LogLevel::Info, "task.suspected",
+      {{"run", describe(Suspect.Id)},
+       {"upstream", Suspect.Upstream.str()},
+       {"age_ms", std::to_string(inMillis(Crash.Latest - Suspect.StartedAt))},
+       {"crashes", std::to_string(Task->Crashes.Crashes)},
+       {"only_suspect", OneCause ? "yes" : "no"}});
+  return isGivenUp(Task->Crashes);
+}
+
 void Scheduler::Impl::settle(UpstreamRecord &Upstream, const RunPtr &Candidate,
                              Instant Now) {
   TaskRecord *Task = this->task(Candidate->Id.Task);
@@ -174,8 +198,8 @@
   for (const auto &[Id, Upstream] : this->Inner->Upstreams) {
     const auto Vm = ById.find(Upstream->Report.Vm);
     // Without a lost contact, the entry of the list may be the older one.
-    if (Vm == ById.end() || !Upstream->ContactLostAt ||
-        *Upstream->ContactLostAt >= RequestedAt)
+    if (Vm == ById.end() ||
+        Upstream->ContactLostAt.value_or(RequestedAt) >= RequestedAt)
       continue;
     const bool OtherProcess = Vm->second->State == VmState::Up &&
                               !Vm->second->Upstream.empty() &&
--- a/packages/scheduling/src/schedulerinherited.cpp
+++ b/packages/scheduling/src/schedulerinherited.cpp
@@ -128,11 +128,8 @@
                              : !this->FullyAnsweredPools.contains(Pool);
 }
 
-std::optional<PoolId>
-Scheduler::Impl::poolOfInheritedRuns(const JobRecord &Job) const {
-  if (this->wasMoved(Job))
-    return std::nullopt;
-  return this->queueSettingsOf(Job).Pool;
+PoolId Scheduler::Impl::poolOfInheritedRuns(const JobRecord &Job) const {
+  return this->wasMoved(Job) ? PoolId() : this->queueSettingsOf(Job).Pool;
 }
 
 PossibleUse Scheduler::Impl::possibleUseOf(const JobRecord &Job) const {
@@ -167,11 +164,8 @@
     this->EndedInheritedJobs.clear();
     return;
   }
-  // No pool stands for any pool.
-  std::map<std::pair<std::optional<PoolId>, OrganisationId>, Resources>
-      PossiblyRunning;
-  const auto Add = [&](const std::optional<PoolId> &Pool,
-                       const OrganisationId &Organisation,
+  std::map<std::pair<PoolId, OrganisationId>, Resources> PossiblyRunning;
+  const auto Add = [&](const PoolId &Pool, const OrganisationId &Organisation,
                        const PossibleUse &Use) {
     PossiblyRunning[{Pool, Organisation}] += Use.Reserved;
     // Best-effort tasks reserve no CPU, so the capacity does not limit them.
@@ -184,15 +178,16 @@
           this->possibleUseOf(Job));
   }
   for (const EndedInheritedJob &Ended : this->EndedInheritedJobs)
-    if (Ended.Pool ? !this->FullyAnsweredPools.contains(*Ended.Pool)
-                   : !this->AllPoolsAnswered)
+    if (Ended.Pool.empty() ? !this->AllPoolsAnswered
+                           : !this->FullyAnsweredPools.contains(Ended.Pool))
       Add(Ended.Pool, Ended.Organisation, Ended.Use);
   // Bounded by the capacity of the upstreams that have not answered.
   for (const auto &[Key, Sum] : PossiblyRunning)
     this->PossibleInheritedUse[Key.second] +=
         this->VmsListed
-            ? componentMin(Sum, Key.first ? this->unansweredCapacity(*Key.first)
-                                          : this->unansweredCapacity())
+            ? componentMin(Sum, Key.first.empty()
+                                    ? this->unansweredCapacity()
+                                    : this->unansweredCapacity(Key.first))
             : Sum;
 }
 
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -54,7 +54,7 @@
 /// An inherited job that ended while some upstreams had not answered. Its runs
 /// there go on until their leases expire.
 struct EndedInheritedJob {
-  std::optional<PoolId> Pool; ///< Unset: it may run in any pool.
+  PoolId Pool; ///< Empty: it may run in any pool.
   OrganisationId Organisation;
   PossibleUse Use;
 };
@@ -99,6 +99,14 @@
                       const std::vector<EndedRun> &Ends, Instant Now);
 
   // Crashes of upstreams (schedulercrashes.cpp)
+  UpstreamCrash crashOf(const UpstreamRecord &Upstream, Instant Now) const;
+  /// \returns whether all of \p Suspects are one task, or members of one gang.
+  bool isOneCause(const std::vector<RunPtr> &Suspects);
+  void countRecentStarts(const UpstreamRecord &Upstream,
+                         const UpstreamCrash &Crash);
+  /// \returns whether the task of \p Suspect is given up.
+  bool suspect(const Run &Suspect, const UpstreamCrash &Crash, bool OneCause,
+               Instant Now);
   /// Suspects the tasks that had just begun on \p Upstream.
   /// \returns those that have crashed too many upstreams to be started again.
   std::vector<TaskId> attributeCrash(UpstreamRecord &Upstream, Instant Now);
@@ -166,8 +174,8 @@
   /// pool since the job was accepted, or may have been moved back.
   bool wasMoved(const JobRecord &Job) const;
   /// \returns the pool in which an earlier holder may have started \p Job, or
-  /// nothing if it may be any.
-  std::optional<PoolId> poolOfInheritedRuns(const JobRecord &Job) const;
+  /// an empty id if it may be any.
+  PoolId poolOfInheritedRuns(const JobRecord &Job) const;
   bool isBlockedByInheritedRuns(const JobRecord &Job, const PoolId &Pool) const;
   /// \returns what \p Job may have running on upstreams that have not answered.
   PossibleUse possibleUseOf(const JobRecord &Job) const;
