Policy file with switches of optional scheduling features

The new features have to leave deployments without them as they are, and each has to be compared with itself switched off. A YAML file names the switches; all are off without it, and an unknown key is an error with its line.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,5 +1,6 @@
 #include "sardinerill/adapter/platformmain.h"
 #include "sardinerill/daemon/daemonapp.h"
+#include "sardinerill/settings/policyfile.h"
 
 #include <iostream>
 #include <tclap/CmdLine.h>
@@ -25,6 +26,19 @@
   return DaemonApp(std::move(Parsed.Loaded)).run();
 }
 
+int runSiteDaemon(const std::string &PolicyPath, bool CheckOnly) {
+  site::SchedulingPolicy Policy;
+  if (!PolicyPath.empty()) {
+    const Result<site::SchedulingPolicy> Loaded = loadPolicy(PolicyPath);
+    if (!Loaded) {
+      std::cerr << Loaded.error().Detail << "\n";
+      return ExitInvalidSettings;
+    }
+    Policy = *Loaded;
+  }
+  return site::adapter::runOnPlatform(Policy, CheckOnly);
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -43,9 +57,14 @@
         "run as site daemon: read the settings from the platform's node file "
         "and ignore --config",
         CommandLine);
+    TCLAP::ValueArg<std::string> PolicyPath(
+        "", "policy",
+        "with --platform: YAML file with the switches of optional scheduling "
+        "features; without it all are off",
+        false, "", "file", CommandLine);
     CommandLine.parse(Count, Arguments);
     if (OnPlatform.getValue())
-      return site::adapter::runOnPlatform(Check.getValue());
+      return runSiteDaemon(PolicyPath.getValue(), Check.getValue());
     if (Help.getValue()) {
       std::cout << describeSettings();
       return 0;
--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "sardinerill/scheduling/commands.h"
 #include "sardinerill/scheduling/jobprogress.h"
+#include "sardinerill/scheduling/schedulingpolicy.h"
 
 #include <algorithm>
 #include <memory>
@@ -22,6 +23,7 @@
 
 struct SchedulerOptions {
   SiteBounds Bounds;
+  SchedulingPolicy Policy;
   /// Number of the ownership term, from which the run numbers of inherited jobs
   /// are derived, so that two holders never use the same one.
   int Term = 0;
--- a/packages/site/include/sardinerill/site/sitesettings.h
+++ b/packages/site/include/sardinerill/site/sitesettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sardinerill/http/httptypes.h"
+#include "sardinerill/scheduling/schedulingpolicy.h"
 #include "sardinerill/scheduling/schedulingtypes.h"
 
 /// \file
@@ -19,6 +20,7 @@
   Endpoint VmControl;
   Endpoint Advisor; ///< Not valid if no queue needs advice.
   SiteBounds Bounds;
+  SchedulingPolicy Policy;
   /// Time from the stop signal until the process must have exited.
   Duration StopGracePeriod = seconds(6);
   /// Call rates of the VM control, read from the settings. The daemon does not
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -66,6 +66,7 @@
 SchedulerOptions schedulerOptions(const SiteDeps &Deps,
                                   const OwnershipClaim &Claim) {
   return {.Bounds = Deps.Settings.Bounds,
+          .Policy = Deps.Settings.Policy,
           .Term = Claim.Term,
           .InheritedRunsUntil = inheritedLeasesExpireAt(Deps, Claim),
           .StopsPendingUntil = Claim.EarlierCommandsUntil + MaxStopTime,
