VMs that are too few are divided among the pools

Cause: the pool planner serves one pool after the other, in the order of their shortages.

Change: if the targets exceed the VMs, each pool receives its minimum and the same fraction of the rest; no pool asks for more than all VMs; demand is limited by ceilings. The planners move to packages/capacity.

--- a/packages/scheduling/include/sardinerill/scheduling/poolplan.h
+++ b/packages/capacity/include/sardinerill/capacity/poolplan.h
@@ -13,7 +13,8 @@
 /// slowly, so that short fluctuations of the demand cause no moves. Independent
 /// of demand, each pool keeps the VMs that its long-running tasks are spread
 /// over, because these tasks can't run in another pool, and spare VMs while a
-/// maintenance wave drains VMs.
+/// maintenance wave drains VMs. While the VMs are too few for all pools, they
+/// are divided as vmdivision.h says.
 
 namespace sardinerill::site {
 
@@ -61,18 +62,28 @@
   friend bool operator==(const PoolMove &, const PoolMove &) = default;
 };
 
+struct PoolPlanOptions {
+  std::int64_t CpuMilliOfVm = 0; ///< CPU of one VM; all VMs are assumed equal.
+  /// Divides the VMs if the pools want more than there are. Otherwise the pool
+  /// with the largest shortage is served first.
+  bool DivideScarceVms = false;
+  friend bool operator==(const PoolPlanOptions &,
+                         const PoolPlanOptions &) = default;
+};
+
 struct PoolPlan {
   std::vector<PoolMove> Moves; ///< Idle VMs to move now.
   std::vector<VmId> Drain;     ///< VMs on which no new tasks may be placed, to
                                ///< be moved once they are idle.
   std::vector<VmId> CancelDrain; ///< VMs whose pending move is cancelled.
+  std::map<PoolId, int> Targets; ///< VMs that each pool should have.
+  bool Scarce = false;           ///< The pools want more VMs than there are.
 };
 
 /// \returns the moves and drains for the current demand.
 /// \param Averages state of each pool, updated by the call.
-/// \param CpuMilliOfVm CPU of one VM; all VMs are assumed equal.
 PoolPlan planPools(const std::vector<PoolView> &Pools,
                    std::map<PoolId, PoolDemandAverage> &Averages,
-                   std::int64_t CpuMilliOfVm, Instant Now);
+                   const PoolPlanOptions &Options, Instant Now);
 
 } // namespace sardinerill::site
--- a/packages/scheduling/src/poolplan.cpp
+++ b/packages/capacity/src/poolplan.cpp
@@ -1,4 +1,6 @@
-#include "sardinerill/scheduling/poolplan.h"
+#include "sardinerill/capacity/poolplan.h"
+
+#include "sardinerill/capacity/vmdivision.h"
 
 #include <algorithm>
 #include <cmath>
@@ -109,6 +111,39 @@
   }
 }
 
+/// \returns the VMs that can serve: those of the pools, on their way to a pool,
+/// or idle in the standby pool.
+int availableVms(const std::vector<PoolTarget> &Targets,
+                 const PoolView *Standby) {
+  int Available = Standby ? vmsInService(*Standby) : 0;
+  for (const PoolTarget &Target : Targets)
+    Available += Target.Current;
+  return Available;
+}
+
+/// Divides the VMs if the targets exceed them.
+/// \returns whether they do.
+bool divideIfScarce(std::vector<PoolTarget> &Targets, const PoolView *Standby) {
+  const int Available = availableVms(Targets, Standby);
+  std::vector<PoolNeed> Needs;
+  int Wanted = 0;
+  for (const PoolTarget &Target : Targets) {
+    // No pool can use more than all VMs. Without this limit, a pool whose
+    // backlog is several times the fleet would again receive nearly all.
+    Needs.push_back({.Minimum = Target.Minimum,
+                     .Wanted = std::min(Target.Target, Available)});
+    Wanted += Needs.back().Wanted;
+  }
+  if (Wanted <= Available)
+    return false;
+  const std::vector<int> Divided = divideVms(Needs, Available);
+  for (std::size_t Index = 0; Index < Targets.size(); ++Index) {
+    Targets[Index].Target = Divided[Index];
+    Targets[Index].Minimum = std::min(Targets[Index].Minimum, Divided[Index]);
+  }
+  return true;
+}
+
 } // namespace
 
 double rememberedDemand(const PoolDemandAverage &Average, double DemandCpuMilli,
@@ -120,9 +155,9 @@
 
 PoolPlan planPools(const std::vector<PoolView> &Pools,
                    std::map<PoolId, PoolDemandAverage> &Averages,
-                   std::int64_t CpuMilliOfVm, Instant Now) {
+                   const PoolPlanOptions &Options, Instant Now) {
   PoolPlan Plan;
-  if (CpuMilliOfVm <= 0 || Pools.size() < 2)
+  if (Options.CpuMilliOfVm <= 0 || Pools.size() < 2)
     return Plan; // The capacity of a VM is unknown, or there is no other pool.
   std::size_t Total = 0;
   const PoolView *Standby = nullptr;
@@ -140,12 +175,16 @@
     const double Demand =
         smoothDemand(Averages[Pool.Id], double(Pool.DemandCpuMilli), Now);
     const int VmsForDemand =
-        int(std::ceil(Demand * Headroom / double(CpuMilliOfVm)));
+        int(std::ceil(Demand * Headroom / double(Options.CpuMilliOfVm)));
     const int Minimum = minimumVms(Pool, MinVms);
     Targets.push_back({&Pool, Minimum,
                        std::max(Minimum, VmsForDemand + SpareVms),
                        vmsInService(Pool) + Pool.IncomingVms});
   }
+  if (Options.DivideScarceVms)
+    Plan.Scarce = divideIfScarce(Targets, Standby);
+  for (const PoolTarget &Target : Targets)
+    Plan.Targets[Target.Pool->Id] = Target.Target;
   std::ranges::stable_sort(Targets,
                            [](const PoolTarget &A, const PoolTarget &B) {
                              return A.shortage() > B.shortage();
--- a/packages/scheduling/src/waveplan.cpp
+++ b/packages/capacity/src/waveplan.cpp
@@ -1,4 +1,4 @@
-#include "sardinerill/scheduling/waveplan.h"
+#include "sardinerill/capacity/waveplan.h"
 
 #include <algorithm>
 
--- a/packages/scheduling/src/schedulerdemand.cpp
+++ b/packages/scheduling/src/schedulerdemand.cpp
@@ -30,11 +30,37 @@
   return Work.CanMeetObjective && !Work.OverShare ? 1.0 : LateWorkWeight;
 }
 
+double Scheduler::Impl::runnableFraction(const OrganisationId &Organisation,
+                                         std::int64_t CpuMilli) const {
+  const OrganisationSettings *Settings =
+      this->Configuration.organisation(Organisation);
+  if (!Settings || Settings->Ceiling.CpuMilli <= 0 ||
+      CpuMilli <= Settings->Ceiling.CpuMilli)
+    return 1.0;
+  return double(Settings->Ceiling.CpuMilli) / double(CpuMilli);
+}
+
+void Scheduler::Impl::limitToCeilings(
+    const std::map<OrganisationId, std::map<PoolId, std::int64_t>> &ShortTasks,
+    std::map<PoolId, PoolDemand> &Demand) const {
+  for (const auto &[Organisation, CpuOfPool] : ShortTasks) {
+    std::int64_t Total = 0;
+    for (const auto &[Pool, Cpu] : CpuOfPool)
+      Total += Cpu;
+    const double Excess = 1.0 - this->runnableFraction(Organisation, Total);
+    for (const auto &[Pool, Cpu] : CpuOfPool)
+      Demand[Pool].CpuMilli -= std::int64_t(Excess * double(Cpu));
+  }
+}
+
 std::map<PoolId, PoolDemand> Scheduler::demand(Instant Now) const {
   std::map<PoolId, PoolDemand> Demand;
+  /// CPU of short tasks, counted in Demand as well.
+  std::map<OrganisationId, std::map<PoolId, std::int64_t>> ShortTasks;
   for (const JobId &Id : this->Inner->LiveJobs) {
     const JobRecord &Job = *this->Inner->Jobs.at(Id);
-    PoolDemand &Pool = Demand[this->Inner->queueSettingsOf(Job).Pool];
+    const PoolId PoolOfJob = this->Inner->queueSettingsOf(Job).Pool;
+    PoolDemand &Pool = Demand[PoolOfJob];
     const bool LongRunning = hasLongRunningStep(Job.Spec);
     for (const auto &[Number, Occurrence] : Job.Occurrences) {
       const double Weight =
@@ -55,12 +81,16 @@
           Pool.CpuMilli += Cpu;
           if (LongRunning)
             Pool.LongRunningCpuMilli += Cpu;
+          else
+            ShortTasks[Job.Spec.Organisation][PoolOfJob] += Cpu;
           if (Task.Runs.empty())
             Pool.WaitingCpuMilli += Cpu;
         }
       }
     }
   }
+  if (this->Inner->Options.Policy.DivideScarceVms)
+    this->Inner->limitToCeilings(ShortTasks, Demand);
   for (const auto &[Queue, Estimator] : this->Inner->ArrivalRates)
     if (const QueueSettings *Settings =
             this->Inner->Configuration.queue(Queue)) {
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -188,6 +188,16 @@
   /// \returns the weight, 0 to 1, of the CPU of \p Job in the demand for VMs.
   double demandWeight(const JobRecord &Job, const OccurrenceRecord &Occurrence,
                       Instant Now) const;
+  /// \returns the part, 0 to 1, of \p CpuMilli that the ceiling of
+  /// \p Organisation allows to run.
+  double runnableFraction(const OrganisationId &Organisation,
+                          std::int64_t CpuMilli) const;
+  /// Takes from \p Demand what the ceilings don't allow to run of
+  /// \p ShortTasks.
+  void
+  limitToCeilings(const std::map<OrganisationId, std::map<PoolId, std::int64_t>>
+                      &ShortTasks,
+                  std::map<PoolId, PoolDemand> &Demand) const;
 
   // Supervision of running tasks (schedulersupervision.cpp)
   void updateUnresponsiveZones();
--- a/packages/site/src/vmcoordinator.h
+++ b/packages/site/src/vmcoordinator.h
@@ -4,9 +4,9 @@
 
 #include "sardinerill/base/metrics.h"
 #include "sardinerill/ownership/ownership.h"
-#include "sardinerill/scheduling/poolplan.h"
+#include "sardinerill/capacity/poolplan.h"
 #include "sardinerill/scheduling/scheduler.h"
-#include "sardinerill/scheduling/waveplan.h"
+#include "sardinerill/capacity/waveplan.h"
 #include "sardinerill/site/isitesource.h"
 #include "sardinerill/site/istore.h"
 #include "sardinerill/site/ivmcontrol.h"
@@ -82,7 +82,7 @@
   Async<void> moveVm(VmId Vm);
   void retireReplacedUpstreams(Instant RequestedAt);
   void updateMoves();
-  void logPools(Instant Now);
+  void logPools(const PoolPlan &Plan, Instant Now);
   /// Updates the move of \p Id. \returns whether it has finished or was not
   /// carried out.
   bool updateMove(const VmId &Id, MoveProgress &Move, Instant Now);
--- a/packages/site/src/vmmoves.cpp
+++ b/packages/site/src/vmmoves.cpp
@@ -103,7 +103,7 @@
   return Arrived || Overdue;
 }
 
-void VmCoordinator::logPools(Instant Now) {
+void VmCoordinator::logPools(const PoolPlan &Plan, Instant Now) {
   if (Now < this->NextPoolLog)
     return;
   this->NextPoolLog = Now + PoolLogInterval;
@@ -116,14 +116,19 @@
       Empty += Vm.Up && Vm.Runs == 0;
       Pinned += Vm.LongRunningTasks > 0;
     }
-    logEvent(LogLevel::Info, "pool.state",
-             {{"pool", Pool.Id.str()},
-              {"vms", std::to_string(Pool.Vms.size())},
-              {"taking", std::to_string(Accepting)},
-              {"empty", std::to_string(Empty)},
-              {"pinned", std::to_string(Pinned)},
-              {"arriving", std::to_string(Pool.IncomingVms)},
-              {"demand_cpu_milli", std::to_string(Pool.DemandCpuMilli)}});
+    const auto Target = Plan.Targets.find(Pool.Id);
+    logEvent(
+        LogLevel::Info, "pool.state",
+        {{"pool", Pool.Id.str()},
+         {"target",
+          std::to_string(Target == Plan.Targets.end() ? 0 : Target->second)},
+         {"scarce", Plan.Scarce ? "yes" : "no"},
+         {"vms", std::to_string(Pool.Vms.size())},
+         {"taking", std::to_string(Accepting)},
+         {"empty", std::to_string(Empty)},
+         {"pinned", std::to_string(Pinned)},
+         {"arriving", std::to_string(Pool.IncomingVms)},
+         {"demand_cpu_milli", std::to_string(Pool.DemandCpuMilli)}});
   }
 }
 
@@ -133,8 +138,11 @@
   for (const VmRecord &Vm : this->Vms)
     CpuMilliOfVm = std::max(CpuMilliOfVm, Vm.Capacity.CpuMilli);
   const PoolPlan Plan =
-      planPools(this->poolViews(), this->PoolDemandAverages, CpuMilliOfVm, Now);
-  this->logPools(Now);
+      planPools(this->poolViews(), this->PoolDemandAverages,
+                {.CpuMilliOfVm = CpuMilliOfVm,
+                 .DivideScarceVms = this->Deps.Settings.Policy.DivideScarceVms},
+                Now);
+  this->logPools(Plan, Now);
   for (const VmId &Id : Plan.CancelDrain) {
     this->Moves.erase(Id);
     if (const VmRecord *Vm = this->findVm(Id))
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -11,7 +11,7 @@
   exit 1
 fi
 # Sources with coroutines need clang-tidy-16.
-coroutine_sources='^(platform|packages/(http|scheduling|ownership|site))/'
+coroutine_sources='^(platform|packages/(http|scheduling|capacity|ownership|site))/'
 git ls-files 'packages/*/src/*.cpp' 'platform/src/*.cpp' | grep -E "$coroutine_sources" |
   xargs -P "$(nproc)" -n 1 clang-tidy-16 -p "$1" --quiet
 git ls-files 'packages/*/src/*.cpp' | grep -vE "$coroutine_sources" |
