Jobs are loaded in pages that a slow link can carry

Cause: a load reads pages of up to 500 rows or 1 MB, eight at a time, each within 0.9 s, and begins again from nothing when one fails. Ruled out: the table being away (the same daemon's renewals and calls succeeded).

Change: pages begin with 64 rows, are halved after a failure and grow while they arrive fast; what has arrived is kept. A load fails only if no page arrives for 3 s. The new test fails on the code before.

--- a/packages/site/include/sardinerill/site/istore.h
+++ b/packages/site/include/sardinerill/site/istore.h
@@ -73,6 +73,7 @@
   std::string To;   ///< Exclusive end; empty means to the last key.
   /// May be sent on two routes at once, see IStore::read().
   bool Urgent = false;
+  int Limit = 0; ///< Rows of one page; 0: as many as the table returns.
 };
 
 /// Errors: PlatformUnavailable if the call certainly had no effect, otherwise
@@ -102,6 +103,11 @@
   virtual Async<HttpResponse> relay(HttpRequest Request) = 0;
 };
 
+/// Appends \p Page to \p AllRows, whose version becomes that of the oldest
+/// page. \param Range moved to the next page. \returns whether there are more
+/// pages.
+bool appendPage(RowPage Page, bool IsFirst, RowRange &Range, RowPage &AllRows);
+
 /// Reads all pages of \p Range. The version is that of the oldest page.
 Async<Result<RowPage>> readAll(IStore &Store, RowRange Range, Duration Timeout);
 
--- a/packages/site/src/jobtable.cpp
+++ b/packages/site/src/jobtable.cpp
@@ -22,6 +22,16 @@
 /// Timeout of one call. The table usually answers within 5 ms, but may be 60
 /// times slower.
 constexpr milliseconds CallTimeout{900};
+/// Rows of the first page of a load, and the bounds between which this number
+/// adapts: a page of 500 rows may have 1 MB, which a link of 10 Mbit/s that
+/// eight loads share can't carry within CallTimeout.
+constexpr int FirstPageRows = 64;
+constexpr int MinPageRows = 8;
+constexpr int MaxPageRows = 500;
+/// Pages that arrive within this time are followed by larger ones.
+constexpr milliseconds FastPageTime{150};
+/// A load fails if no page arrives for this long.
+constexpr milliseconds MaxLoadStall{3000};
 /// Pause before a failed call is retried.
 constexpr milliseconds RetryPause{60};
 /// Shortest wait for the outcome of a submission, so that it is tried once.
@@ -331,13 +341,35 @@
 
 Async<Result<RowPage>> JobTable::readFresh(RowRange Range,
                                            std::int64_t AtLeast) {
-  auto Page = co_await readAll(this->Store, std::move(Range), CallTimeout);
-  if (Page && Page->NewestVersion < AtLeast)
-    co_return makeError(ErrorKind::PlatformUnavailable,
-                        "read at version " +
-                            std::to_string(Page->NewestVersion) +
-                            ", older than " + std::to_string(AtLeast));
-  co_return Page;
+  RowPage AllRows;
+  Range.Limit = FirstPageRows;
+  int LargestPage = MaxPageRows;
+  Instant ProgressAt = this->Clock.now();
+  for (bool IsFirst = true, More = true; More;) {
+    const Instant SentAt = this->Clock.now();
+    auto Page = co_await this->Store.read(Range, CallTimeout);
+    const Instant Now = this->Clock.now();
+    if (!Page) {
+      if (Now - ProgressAt >= MaxLoadStall)
+        co_return tl::unexpected(Page.error());
+      // The page may be too large for the link. What has arrived is kept.
+      LargestPage = std::max(MinPageRows, Range.Limit / 2);
+      Range.Limit = LargestPage;
+      co_await sleepFor(RetryPause);
+      continue;
+    }
+    if (Page->NewestVersion < AtLeast)
+      co_return makeError(ErrorKind::PlatformUnavailable,
+                          "read at version " +
+                              std::to_string(Page->NewestVersion) +
+                              ", older than " + std::to_string(AtLeast));
+    ProgressAt = Now;
+    if (Now - SentAt < FastPageTime)
+      Range.Limit = std::min(LargestPage, 2 * Range.Limit);
+    More = appendPage(std::move(*Page), std::exchange(IsFirst, false), Range,
+                      AllRows);
+  }
+  co_return AllRows;
 }
 
 Async<Result<StoredJobs>> JobTable::loadPartition(std::size_t Index,
--- a/packages/site/tests/fakestore.h
+++ b/packages/site/tests/fakestore.h
@@ -5,6 +5,7 @@
 #include "sardinerill/site/istore.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 
 /// \file
@@ -41,6 +42,8 @@
   }
 
   Async<Result<RowPage>> read(RowRange Range, Duration) override {
+    if (this->OnRead)
+      this->OnRead();
     if (this->nextFault() != CallFault::None)
       co_return makeError(ErrorKind::PlatformUnavailable, "busy");
     const bool IsOld = ++this->Reads == this->OldRead;
@@ -48,12 +51,15 @@
     for (const auto &[Key, StoredRow] : IsOld ? this->OldRows : this->Rows)
       if (Key.Table == Range.Table && Key.Partition == Range.Partition &&
           Key.Key >= Range.From && (Range.To.empty() || Key.Key < Range.To)) {
-        if (Page.Rows.size() >= this->PageSize) {
+        if (Page.Rows.size() >= this->PageSize ||
+            (Range.Limit > 0 && Page.Rows.size() >= std::size_t(Range.Limit))) {
           Page.HasMore = true;
           break;
         }
         Page.Rows.push_back(StoredRow);
       }
+    if (Page.Rows.size() > this->MaxRowsInTime)
+      co_return makeError(ErrorKind::PlatformOutcomeUnknown, "timed out");
     co_return Page;
   }
 
@@ -125,6 +131,9 @@
   int Reads = 0;
   int OldRead = 0; ///< Number, from 1, of a read that returns the old state.
   std::size_t PageSize = 500;
+  std::function<void()> OnRead; ///< Called at the beginning of each read.
+  /// A read that returns more rows than this gets no answer, as on a slow link.
+  std::size_t MaxRowsInTime = 1000000;
   int Transactions = 0;
   bool Reachable = true;
   bool MayAnswer = false; ///< Ends CallFault::Hangs.
--- a/packages/site/tests/jobtable_test.cpp
+++ b/packages/site/tests/jobtable_test.cpp
@@ -276,3 +276,27 @@
   CHECK(First->value() > 0);
   CHECK(Fixture.load()->Changes.size() == 1);
 }
+
+TEST_CASE("jobs are loaded over a link that can't carry large pages in time") {
+  // After all daemons had lost power, one with a link of 10 Mbit/s claimed the
+  // ownership and never loaded the 2,000 jobs: each attempt read the same large
+  // pages, timed out and began again, and nothing was started any more.
+  JobTableFixture Fixture;
+  for (int Index = 0; Index < 400; ++Index)
+    REQUIRE(Fixture.accept("job" + std::to_string(Index)).has_value());
+  Fixture.Store.MaxRowsInTime = 10;
+  Fixture.Store.Reads = 0;
+  const auto Loaded = Fixture.load();
+  REQUIRE(Loaded.has_value());
+  CHECK(Loaded->Changes.size() == 400);
+  CHECK(Fixture.Store.Reads <
+        120); // 50 pages of 8 rows, few that are too large.
+}
+
+TEST_CASE("a load that gets no page for some seconds fails") {
+  JobTableFixture Fixture;
+  REQUIRE(Fixture.accept("a").has_value());
+  Fixture.Store.Faults.assign(10000, CallFault::NotDone);
+  Fixture.Store.OnRead = [&] { Fixture.Clock.advance(milliseconds(900)); };
+  CHECK_FALSE(Fixture.load().has_value());
+}
