No task is started in a zone that operators are evacuating

Cause: the row evacuate/ZONE of the table op was ignored, so that work went on in a zone for as long as the request was in force.

Every daemon keeps which zones are evacuated (packages/evacuation), by version of the table, so that an old read or a peer that lags behind does not override what is known. The scheduler accepts no task on an upstream of such a zone, and moves long-running tasks away as far as their availability budgets allow. The holder hands over the zones before each scheduling round. After a failed poll of the rows the next one does not wait, so that one lost answer does not hold starts for another second.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -208,6 +208,11 @@
   /// upstream.
   void cordon(const UpstreamId &Id, bool Cordoned);
 
+  /// Sets the zones that operators are evacuating. Nothing is placed there, and
+  /// long-running tasks are moved to other zones as their availability budgets
+  /// allow. Replaces the previous set.
+  void setEvacuatedZones(const std::set<ZoneId> &Zones);
+
   /// Runs one scheduling round: places waiting tasks, replaces stuck runs and
   /// relocates long-running tasks ahead of maintenance.
   /// \param UnixMs the wall-clock time, for recurring jobs.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -287,6 +287,7 @@
   Record->Report.Draining |= Draining;
   Record->Cordoned = this->Inner->Cordoned.contains(Report.Id);
   Record->MaintenanceDue = this->Inner->MaintenanceDue.contains(Report.Id);
+  Record->ZoneEvacuated = this->Inner->EvacuatedZones.contains(Report.Zone);
   Record->Registered = true;
   if (PoolChanged)
     this->Inner->rebuildPools();
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -134,6 +134,8 @@
   /// The outcome of a start is unknown, and the upstream has not answered
   /// since.
   bool Unresponsive = false;
+  /// Operators are evacuating its zone.
+  bool ZoneEvacuated = false;
   /// Its zone seems partitioned from this daemon.
   bool ZoneUnresponsive = false;
   int ConsecutiveFailures = 0;
@@ -150,7 +152,8 @@
   /// \returns whether new tasks may be placed here.
   bool acceptsTasks() const {
     return this->Answered && this->Registered && !this->Report.Draining &&
-           !this->Cordoned && !this->Unresponsive && !this->ZoneUnresponsive;
+           !this->Cordoned && !this->ZoneEvacuated && !this->Unresponsive &&
+           !this->ZoneUnresponsive;
   }
   std::string_view rack() const;
 };
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -209,8 +209,8 @@
   /// \param AllowDue whether upstreams due for maintenance count.
   bool fitsElsewhere(const RunPtr &Candidate, bool AllowDue, Instant Now);
   int evacuate(UpstreamRecord &Upstream, bool AllowDue, Instant Now);
-  /// Evacuates long-running tasks early from VMs that a maintenance wave has
-  /// yet to take down.
+  /// Evacuates long-running tasks from evacuated zones, and early from VMs that
+  /// a maintenance wave has yet to take down.
   void relocateLongRunning(Instant Now);
   int countUnavailableOthers(const JobRecord &Job, const TaskId &Task,
                              Instant Now) const;
@@ -251,6 +251,7 @@
   std::set<UpstreamId> MaintenanceDue;
   std::set<UpstreamId>
       Cordoned; ///< Includes upstreams that are not registered yet.
+  std::set<ZoneId> EvacuatedZones;
   /// Time until which an evacuation counts as pending.
   Instant EvacuatingUntil{};
   Instant NextRelocation{};
--- a/packages/scheduling/src/schedulersupervision.cpp
+++ b/packages/scheduling/src/schedulersupervision.cpp
@@ -209,6 +209,14 @@
     Upstream->MaintenanceDue = Due.contains(Id);
 }
 
+void Scheduler::setEvacuatedZones(const std::set<ZoneId> &Zones) {
+  if (Zones == this->Inner->EvacuatedZones)
+    return;
+  this->Inner->EvacuatedZones = Zones;
+  for (auto &[Id, Upstream] : this->Inner->Upstreams)
+    Upstream->ZoneEvacuated = Zones.contains(Upstream->Report.Zone);
+}
+
 bool Scheduler::needsEarlyPoll(const UpstreamId &Id, Instant Now) const {
   const auto Found = this->Inner->Upstreams.find(Id);
   if (Found == this->Inner->Upstreams.end() ||
@@ -241,9 +249,14 @@
 }
 
 void Scheduler::Impl::relocateLongRunning(Instant Now) {
-  if (this->MaintenanceDue.empty() || Now < this->NextRelocation)
+  if ((this->MaintenanceDue.empty() && this->EvacuatedZones.empty()) ||
+      Now < this->NextRelocation)
     return;
   this->NextRelocation = Now + RelocationInterval;
+  if (!this->EvacuatedZones.empty())
+    for (const auto &[Id, Upstream] : this->Upstreams)
+      if (Upstream->ZoneEvacuated)
+        this->evacuate(*Upstream, true, Now);
   for (const UpstreamId &Id : this->MaintenanceDue)
     if (const auto Found = this->Upstreams.find(Id);
         Found != this->Upstreams.end())
--- /dev/null
+++ b/packages/scheduling/tests/evacuation_test.cpp
@@ -0,0 +1,86 @@
+#include "testsite.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace sardinerill;
+using namespace sardinerill::site;
+using namespace sardinerill::site::testing;
+
+namespace {
+
+const ZoneId Zone1("z1");
+const ZoneId Zone2("z2");
+
+/// Adds an upstream in \p Zone.
+FakeUpstream &addIn(TestSite &Site, const std::string &Id, const ZoneId &Zone,
+                    std::int64_t Cpu = 4000) {
+  FakeUpstream &Added = Site.add(Id, Cpu);
+  Added.Report.Zone = Zone;
+  Site.JobScheduler.updateUpstream(Added.Report, at(Site.NowMs));
+  return Added;
+}
+
+/// A long-running step of \p Count tasks of which one may be unavailable.
+StepSpec serviceStep(int Count) {
+  StepSpec Step = stepOf(Count, 1000, 500);
+  Step.LongRunning = true;
+  Step.MaxPerUpstream = 1;
+  Step.MaxUnavailable = 1;
+  return Step;
+}
+
+} // namespace
+
+TEST_CASE("nothing is placed in an evacuated zone until the request is "
+          "withdrawn") {
+  TestSite Site;
+  addIn(Site, "a", Zone1);
+  Site.JobScheduler.setEvacuatedZones({Zone1});
+  // An upstream that registers later is in the zone as well.
+  addIn(Site, "b", Zone1);
+  StepSpec Gang = stepOf(2, 500, 500);
+  Gang.Gang = true;
+  StepSpec BestEffort = stepOf(1, 500, 500);
+  BestEffort.BestEffort = true;
+  Site.submit(jobOf("j1", {stepOf(2, 500, 500)}));
+  Site.submit(jobOf("j2", {Gang}));
+  Site.submit(jobOf("j3", {BestEffort}));
+  Site.submit(jobOf("j4", {serviceStep(1)}));
+  Site.submit(jobOf("j5", {stepOf(1, 500, 500)}), true);
+  CHECK(Site.schedule().empty());
+  Site.JobScheduler.setEvacuatedZones({});
+  CHECK(Site.schedule().size() >= 6);
+}
+
+TEST_CASE("work goes to other zones while a zone is evacuated") {
+  TestSite Site;
+  addIn(Site, "a", Zone1);
+  addIn(Site, "b", Zone2);
+  Site.JobScheduler.setEvacuatedZones({Zone1});
+  Site.submit(jobOf("j1", {stepOf(6, 1000, 500)}));
+  const auto Starts = Site.schedule();
+  REQUIRE(Starts.size() == 4); // The others wait for free capacity.
+  for (const StartCommand &Each : Starts)
+    CHECK(Each.Upstream == UpstreamId("b"));
+}
+
+TEST_CASE("short tasks in an evacuated zone end; a failed one restarts "
+          "elsewhere") {
+  TestSite Site;
+  FakeUpstream &InZone = addIn(Site, "a", Zone1);
+  Site.submit(jobOf("j1", {stepOf(2, 1000, 500)}));
+  REQUIRE(Site.schedule().size() == 2);
+  addIn(Site, "b", Zone2);
+  Site.JobScheduler.setEvacuatedZones({Zone1});
+  CHECK(Site.schedule().empty());
+  CHECK(InZone.Running.size() == 2); // Nothing is stopped.
+  InZone.end(InZone.Running.begin()->first, RunEnd::Failed);
+  std::vector<StartCommand> Starts;
+  for (int Round = 0; Round < 20 && Starts.empty(); ++Round) {
+    Site.advance(100);
+    Starts = Site.schedule();
+  }
+  REQUIRE(Starts.size() == 1);
+  CHECK(Starts[0].Upstream == UpstreamId("b"));
+}
--- a/packages/site/include/sardinerill/site/isitesource.h
+++ b/packages/site/include/sardinerill/site/isitesource.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinerill/evacuation/zoneevacuations.h"
 #include "sardinerill/http/httptypes.h"
 #include "sardinerill/scheduling/schedulingtypes.h"
 
@@ -18,6 +19,10 @@
   /// waitForOperatorChanges(), if it has not changed.
   std::optional<SiteConfiguration> Configuration;
   std::vector<MaintenanceWave> Waves;
+  /// Requests to evacuate a zone, and in a result of waitForOperatorChanges()
+  /// their removals.
+  std::vector<EvacuationRow> Evacuations;
+  bool IsFullRead = false;  ///< Holds all rows, not only changes.
   std::int64_t Version = 0; ///< Position from which to request further changes.
   int SkippedRows = 0;      ///< Number of rows that could not be decoded.
 };
@@ -30,7 +35,8 @@
 class ISiteSource {
 public:
   virtual ~ISiteSource() = default;
-  /// Reads the whole configuration and all maintenance waves.
+  /// Reads the whole configuration, all maintenance waves and all requests to
+  /// evacuate a zone.
   virtual Async<Result<OperatorSnapshot>>
   readOperatorSnapshot(Duration Timeout) = 0;
   /// Waits up to \p Wait for changes after \p Version.
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -390,6 +390,21 @@
   this->SchedulingEvent.notify();
 }
 
+bool Holder::knowsOperatorRows(Instant Now) {
+  const StartHold Hold =
+      this->Deps.OperatorRows.startHold(Now, this->Deps.Store.reachable());
+  if (Hold == std::exchange(this->LastHold, Hold))
+    return Hold == StartHold::None;
+  logEvent(Hold == StartHold::None ? LogLevel::Info : LogLevel::Warning,
+           Hold == StartHold::None ? "holder.starts_allowed"
+                                   : "holder.starts_held",
+           {{"reason", Hold == StartHold::Stale ? "operator rows are stale"
+                       : Hold == StartHold::NotInformed
+                           ? "operator rows are not known yet"
+                           : ""}});
+  return Hold == StartHold::None;
+}
+
 Async<void> Holder::scheduleLoop() {
   while (!this->Context->Stopped) {
     const bool Notified = co_await this->SchedulingEvent.wait(DecisionInterval);
@@ -406,10 +421,12 @@
       logEvent(LogLevel::Warning,
                Stale ? "holder.view_stale" : "holder.view_fresh",
                {{"version", std::to_string(this->JobsVersion)}});
-    if (Stale || !this->Ownership.maySendCommands(Now)) {
+    const bool KnowsRows = this->knowsOperatorRows(Now);
+    if (Stale || !KnowsRows || !this->Ownership.maySendCommands(Now)) {
       co_await sleepFor(RetryPause);
       continue;
     }
+    this->JobScheduler.setEvacuatedZones(this->Deps.Evacuations.zones());
     this->JobScheduler.schedule(Now, unixMillis());
     for (Command &Issued : this->JobScheduler.takeCommands())
       this->sendCommand(Issued);
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -30,6 +30,9 @@
   JobTable &Jobs;
   Metrics &Stats;
   const SiteSettings &Settings;
+  /// Kept up to date by the daemon.
+  const ZoneEvacuations &Evacuations;
+  const OperatorRowsAge &OperatorRows;
 };
 
 /// A successful claim of ownership, and what is known of earlier holders.
@@ -64,6 +67,8 @@
   OwnershipLease &ownership() { return this->Ownership; }
   void configure(const SiteConfiguration &Configuration);
   void addWaves(const std::vector<MaintenanceWave> &Waves);
+  /// Schedules again, after SiteDeps::Evacuations has changed.
+  void applyEvacuations() { this->SchedulingEvent.notify(); }
 
   /// \returns whether all accepted jobs have been loaded.
   bool ready() const { return this->Loaded; }
@@ -86,6 +91,8 @@
   void applyRegistry(const RegistrySnapshot &Snapshot);
   void sendCommand(Command &Issued);
   void publishGauges();
+  /// \returns whether the operators' rows are known well enough to start tasks.
+  bool knowsOperatorRows(Instant Now);
 
   SiteDeps Deps;
   OwnershipClaim Claim;
@@ -104,6 +111,8 @@
   std::int64_t JobsVersion = 0;
   Instant JobsReadAt{}; ///< When the last successful read of jobs was sent.
   bool JobsAreStale = false;
+  /// Why nothing was started in the last round.
+  StartHold LastHold = StartHold::None;
   std::int64_t HeadVersion = 0; ///< Version of the progress head row.
   std::int64_t BatchNumber = 0;
 };
--- a/packages/site/src/peerapi.cpp
+++ b/packages/site/src/peerapi.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::string_view AlivePath = "/alive";
 constexpr std::string_view ConfigurationPath = "/configuration";
+constexpr std::string_view EvacuationsPath = "/evacuations";
 constexpr std::string_view ReleasedPath = "/released";
 constexpr std::string_view ChangePath = "/changes";
 constexpr std::string_view JobPath = "/jobs/";
@@ -56,6 +57,10 @@
   return makeRequest("GET", std::string(ConfigurationPath));
 }
 
+HttpRequest evacuationsRequest() {
+  return makeRequest("GET", std::string(EvacuationsPath));
+}
+
 std::optional<std::int64_t>
 decodeConfigurationVersion(const HttpResponse &Answer) {
   std::int64_t Version = 0;
@@ -113,6 +118,12 @@
   if (Target == ConfigurationPath)
     co_return HttpResponse{.Status = 200,
                            .Body = std::to_string(Deps.ConfigurationVersion())};
+  if (Target == EvacuationsPath) {
+    auto Known = Deps.Evacuations();
+    if (!Known)
+      co_return HttpResponse{.Status = 503};
+    co_return HttpResponse{.Status = 200, .Body = std::move(*Known)};
+  }
   if (Target == ReleasedPath) {
     Deps.OnOwnershipAvailable();
     co_return HttpResponse{.Status = 200};
--- a/packages/site/src/peerapi.h
+++ b/packages/site/src/peerapi.h
@@ -24,6 +24,9 @@
 std::optional<std::int64_t>
 decodeConfigurationVersion(const HttpResponse &Answer);
 
+/// Asks for the evacuations that a daemon knows of.
+HttpRequest evacuationsRequest();
+
 /// Client for the holder's peer API.
 class HolderClient {
 public:
@@ -53,6 +56,9 @@
   std::function<void()> OnOwnershipAvailable;
   /// \returns the version of the configuration in use; 0 if there is none.
   std::function<std::int64_t()> ConfigurationVersion;
+  /// \returns the evacuations that this daemon knows of, encoded; nothing if it
+  /// has not read the operators' rows.
+  std::function<std::optional<std::string>()> Evacuations;
   std::function<std::string()> RenderMetrics;
 };
 
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -63,8 +63,15 @@
   void waitForSignal();
   void reload();
   Async<void> watchSettings();
-  /// Asks peers for the version of the configuration that they use.
+  /// Asks peers for the version of the configuration that they use, and for
+  /// the evacuations that they know of.
   Async<void> checkConfiguration();
+  /// Asks \p Peer for the evacuations that it knows of.
+  Async<void> fetchEvacuations(Endpoint Peer);
+  void applyEvacuations(const OperatorSnapshot &Snapshot, Instant SentAt);
+  /// Logs \p Changes of the evacuations and puts them in force.
+  void reportEvacuations(const std::vector<ZoneEvacuation> &Changes,
+                         std::string_view Source);
   const SiteConfiguration *usableConfiguration() const {
     return this->Configuration && this->Startup.mayServe()
                ? &*this->Configuration
@@ -83,6 +90,8 @@
   PlatformAdapters Adapters;
   std::string Incarnation;
   JobTable Jobs;
+  ZoneEvacuations Evacuations;
+  OperatorRowsAge OperatorRows;
   PeerDirectory Directory;
   OwnershipManager Ownership;
   CallerHandler CallHandler;
@@ -131,7 +140,9 @@
           .Advisor = this->Adapters.Advisor.get(),
           .Jobs = this->Jobs,
           .Stats = *this->Stats,
-          .Settings = this->Settings};
+          .Settings = this->Settings,
+          .Evacuations = this->Evacuations,
+          .OperatorRows = this->OperatorRows};
 }
 
 CallerHandlerDeps SiteDaemon::State::callerHandlerDeps() {
@@ -188,6 +199,11 @@
         const SiteConfiguration *InUse = this->usableConfiguration();
         return InUse ? InUse->Version : 0;
       },
+      .Evacuations = [this]() -> std::optional<std::string> {
+        return this->OperatorRows.isInformed()
+                   ? std::optional(encodeEvacuations(this->Evacuations.known()))
+                   : std::nullopt;
+      },
       .RenderMetrics = [this] { return this->Stats->renderPrometheus(); }};
 }
 
@@ -204,6 +220,12 @@
     this->LocalHolder->configure(*this->Configuration);
   this->LocalHolder->addWaves(this->Waves);
   this->LocalHolder->run();
+  // The change feed of this daemon may lag behind that of others.
+  std::vector<Endpoint> Asked = this->Directory.peers();
+  Asked.resize(std::min(Asked.size(), MaxPeersAsked));
+  for (const Endpoint &Peer : Asked)
+    spawn(this->Context.get_executor(), "evacuation-question",
+          [this, Peer] { return this->fetchEvacuations(Peer); });
 }
 
 void SiteDaemon::State::stopHolder() {
@@ -213,6 +235,53 @@
   this->LocalHolder = nullptr; // Its coroutines keep it alive until they end.
 }
 
+void SiteDaemon::State::reportEvacuations(
+    const std::vector<ZoneEvacuation> &Changes, std::string_view Source) {
+  for (const ZoneEvacuation &Each : Changes)
+    logEvent(LogLevel::Info,
+             Each.Requested ? "evacuation.requested" : "evacuation.withdrawn",
+             {{"zone", Each.Zone.str()},
+              {"version", std::to_string(Each.KnownAt)},
+              {"source", std::string(Source)}});
+  this->Stats->setGauge("evacuated_zones",
+                        double(this->Evacuations.zones().size()));
+  if (this->LocalHolder && !Changes.empty())
+    this->LocalHolder->applyEvacuations();
+}
+
+void SiteDaemon::State::applyEvacuations(const OperatorSnapshot &Snapshot,
+                                         Instant SentAt) {
+  const Instant Now = this->Clock.now();
+  this->OperatorRows.recordRead(SentAt);
+  this->reportEvacuations(
+      Snapshot.IsFullRead
+          ? this->Evacuations.applyFullRead(Snapshot.Evacuations,
+                                            Snapshot.Version, Now)
+          : this->Evacuations.applyChanges(Snapshot.Evacuations, Now),
+      "table");
+  if (Snapshot.SkippedRows)
+    this->Stats->count("operator_rows_skipped_total",
+                       std::uint64_t(Snapshot.SkippedRows));
+}
+
+Async<void> SiteDaemon::State::fetchEvacuations(Endpoint Peer) {
+  const Instant SentAt = this->Clock.now();
+  HttpClient Client(this->Context.get_executor(), {.Peer = Peer});
+  const auto Answer =
+      co_await Client.call(evacuationsRequest(), PeerQuestionTimeout);
+  if (!Answer || Answer->Status != 200)
+    co_return; // It has not read the rows itself, or is of an older version.
+  const auto States = decodeEvacuations(Answer->Body);
+  if (!States) {
+    logEvent(LogLevel::Warning, "evacuation.peer_answer_rejected",
+             {{"peer", Peer.str()}, {"reason", States.error().Detail}});
+    co_return;
+  }
+  this->OperatorRows.recordPeerState(SentAt);
+  this->reportEvacuations(
+      this->Evacuations.applyPeerState(*States, this->Clock.now()), "peer");
+}
+
 void SiteDaemon::State::applyConfiguration(const OperatorSnapshot &Snapshot) {
   for (const MaintenanceWave &Wave : Snapshot.Waves) {
     const auto IsSameWave = [&](const MaintenanceWave &Known) {
@@ -243,14 +312,20 @@
 
 Async<void> SiteDaemon::State::watchConfiguration() {
   std::int64_t Version = -1;
+  // After a failed call, one without waiting tells soonest what was missed.
+  bool HasFailed = false;
   while (true) {
     const bool IsFirst = Version < 0;
+    const Instant SentAt = this->Clock.now();
     const auto Snapshot =
-        IsFirst ? co_await this->Adapters.Source->readOperatorSnapshot(
-                      ConfigurationReadTimeout)
-                : co_await this->Adapters.Source->waitForOperatorChanges(
-                      Version, ConfigurationPollWait);
+        IsFirst
+            ? co_await this->Adapters.Source->readOperatorSnapshot(
+                  ConfigurationReadTimeout)
+            : co_await this->Adapters.Source->waitForOperatorChanges(
+                  Version, HasFailed ? milliseconds(0) : ConfigurationPollWait);
+    HasFailed = !Snapshot;
     if (Snapshot) {
+      this->applyEvacuations(*Snapshot, SentAt);
       this->applyConfiguration(*Snapshot);
       Version = std::max(Version, Snapshot->Version);
       if (this->Startup.needsNewerRead())
@@ -326,9 +401,17 @@
                   decodeConfigurationVersion(*Answer).value_or(0));
             --Pending;
           });
+  Pending += Asked.size();
+  for (const Endpoint &Peer : Asked)
+    spawn(this->Context.get_executor(), "evacuation-question",
+          [this, Peer, &Pending]() -> Async<void> {
+            co_await this->fetchEvacuations(Peer);
+            --Pending;
+          });
   while (Pending > 0)
     co_await sleepFor(HandoverPollInterval);
   this->Startup.endQuestions();
+  this->OperatorRows.endQuestions();
   if (!this->Startup.needsNewerRead())
     co_return;
   logEvent(
--- a/packages/site/tests/takeover_test.cpp
+++ b/packages/site/tests/takeover_test.cpp
@@ -60,6 +60,8 @@
   NoVms Vms;
   JobTable Jobs{Context.get_executor(), Store, Clock, Stats};
   SiteSettings Settings{.Name = "a"};
+  ZoneEvacuations Evacuations;
+  OperatorRowsAge OperatorRows;
   SiteDeps Deps{.Executor = Context.get_executor(),
                 .Clock = Clock,
                 .Store = Store,
@@ -68,7 +70,9 @@
                 .Vms = Vms,
                 .Jobs = Jobs,
                 .Stats = Stats,
-                .Settings = Settings};
+                .Settings = Settings,
+                .Evacuations = Evacuations,
+                .OperatorRows = OperatorRows};
   std::vector<OwnershipClaim> Claims;
   std::unique_ptr<OwnershipLease> Lease;
   OwnershipManager Manager{Deps, "1",
