Cold upstreams get work only if no warm one has room

Cause: an upstream is slow for some time after its start, and its registry entry says for how long (cold-remaining-ms), which was ignored. Zones are full of such upstreams shortly before an evacuation and after it.

Change: the time is decoded, and placement ranks an upstream below all warm ones until it has passed, but above one that is avoided because of failures. A value that is read again unchanged does not extend the time, since the entry may be older than the read. A restarted upstream stays marked as one of an evacuated zone.

--- a/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
+++ b/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
@@ -205,6 +205,8 @@
   Resources Capacity;
   std::vector<std::string> Labels; ///< The second one is the rack.
   bool Draining = false;           ///< The upstream accepts no new runs.
+  /// How much longer it is slow after its start, when the entry was written.
+  Duration ColdRemaining{};
   friend bool operator==(const UpstreamReport &,
                          const UpstreamReport &) = default;
 };
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -13,6 +13,7 @@
 /// two multiply are at most 1. BestEffortWeight and PackingWeight are
 /// alternatives.
 constexpr double FailureWeight = 1000;
+constexpr double ColdWeight = 500;
 constexpr double MaintenanceWeight = 200;
 constexpr double RackWeight = 100;
 constexpr double BestEffortWeight = 50;
@@ -91,6 +92,9 @@
   double Score = 0;
   if (Candidate.AvoidUntil > Request.Now)
     Score -= FailureWeight * (1 + Candidate.ConsecutiveFailures);
+  // Work on an upstream that has just started is slow.
+  if (Candidate.ColdUntil > Request.Now)
+    Score -= ColdWeight;
   // If it crashes its upstream, few others are lost.
   if (isSuspect(Request.Task->Crashes))
     return Score - double(Candidate.Runs.size());
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -9,7 +9,8 @@
 /// reserved. All other tasks are packed onto the fullest upstreams, so that
 /// whole VMs stay idle and the pool planner can move them. An upstream with
 /// recent failures is the last choice: failing tasks free its capacity quickly,
-/// so that it would otherwise be chosen again.
+/// so that it would otherwise be chosen again. One that is still slow after its
+/// start is chosen only if no other has room, except for failing ones.
 
 namespace sardinerill::site {
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -281,6 +281,9 @@
   if (!IsNew && Record->Report.Draining != Report.Draining)
     logEvent(LogLevel::Info, "upstream.draining",
              {{"upstream", Report.Id.str()}, {"pool", Report.Pool.str()}});
+  // An entry that is read again unchanged may be older than the read.
+  if (IsNew || Record->Report.ColdRemaining != Report.ColdRemaining)
+    Record->ColdUntil = Now + Report.ColdRemaining;
   // A drain is never revoked within one incarnation.
   const bool Draining = !IsNew && Record->Report.Draining;
   Record->Report = Report;
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -139,6 +139,7 @@
   /// Its zone seems partitioned from this daemon.
   bool ZoneUnresponsive = false;
   int ConsecutiveFailures = 0;
+  Instant ColdUntil{};  ///< Slow until then, after its start.
   Instant AvoidUntil{}; ///< Deprioritised until then, after failures.
   /// When polls began to fail; unset while the upstream answers.
   std::optional<Instant> ContactLostAt;
--- a/packages/scheduling/src/schedulerrestart.cpp
+++ b/packages/scheduling/src/schedulerrestart.cpp
@@ -78,10 +78,12 @@
   Next.Report = Record.Report;
   Next.Report.IncarnationStartMs = IncarnationStartMs;
   Next.Report.Draining = false;
+  Next.Report.ColdRemaining = {}; // The registry has that of the new process.
   // Gets no new tasks before the registry has the entry of the new process.
   Next.Registered = false;
   Next.UnregisteredAt = Next.ReportedAt = Now;
   Next.Cordoned = Record.Cordoned;
+  Next.ZoneEvacuated = Record.ZoneEvacuated;
   Next.MaintenanceDue = Record.MaintenanceDue;
   Next.Runs = std::move(Record.Runs);
   Next.Used = Record.Used;
