VMs of an evacuated zone are no capacity, and waves take them first

Cause: a pool counted VMs on which nothing may be started, received such VMs from the standby pool, and so lacked the capacity for its work. Waves took VMs that callers needed while those of the zone were idle.

Change: the view of the pool planner leaves out the VMs of evacuated zones, so that they are no capacity and are not moved; a drain that has not been commanded is cancelled. The wave planner gets a mark for VMs that run nothing and get no tasks: it takes them first, also while VMs are scarce, and not at the expense of their pool.

--- a/packages/capacity/include/sardinerill/capacity/waveplan.h
+++ b/packages/capacity/include/sardinerill/capacity/waveplan.h
@@ -31,6 +31,9 @@
   bool CanInterrupt = false; ///< Ending these tasks exceeds no availability
                              ///< budget.
   std::int64_t UsedCpuMilli = 0;
+  /// Runs nothing and gets no tasks, because its zone is being evacuated. Not
+  /// counted in its WavePool.
+  bool Unused = false;
   Instant PreparingSince{};
 };
 
--- a/packages/capacity/src/waveplan.cpp
+++ b/packages/capacity/src/waveplan.cpp
@@ -80,6 +80,8 @@
 
 /// \returns whether the VM can be taken without callers noticing.
 bool isSpare(const WaveView &View, const WaveVm &Vm, const WavePool &Pool) {
+  if (Vm.Unused)
+    return true;
   // While VMs are scarce, those on standby and those of a pool at its trough
   // are on their way to a pool at its peak.
   if (View.Paced && View.Scarce)
@@ -119,7 +121,7 @@
   std::map<PoolId, WavePool> Pools = View.Pools;
   std::ranges::stable_sort(Candidates, [&](const WaveVm *A, const WaveVm *B) {
     const auto Rank = [&](const WaveVm *Vm) {
-      return std::tuple(!Vm->Standby,
+      return std::tuple(!Vm->Unused, !Vm->Standby,
                         View.Paced ? loadOf(Pools[Vm->Pool]) : 0.0,
                         Vm->UsedCpuMilli);
     };
@@ -136,6 +138,8 @@
       continue;
     Plan.Prepare.push_back(Vm->Id);
     ++Preparing;
+    if (Vm->Unused)
+      continue;
     --Pool.VmsInService;
     ++Pool.VmsOutOfService;
     Pool.CpuMilli -= View.CpuMilliOfVm;
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -98,7 +98,8 @@
                             .JobScheduler = this->JobScheduler,
                             .Ownership = this->Ownership,
                             .SchedulingEvent = this->SchedulingEvent,
-                            .Stats = Deps.Stats})) {}
+                            .Stats = Deps.Stats,
+                            .Evacuations = Deps.Evacuations})) {}
 
 void Holder::run() {
   const auto Self = this->shared_from_this();
--- a/packages/site/src/vmcoordinator.cpp
+++ b/packages/site/src/vmcoordinator.cpp
@@ -49,6 +49,10 @@
   });
 }
 
+bool VmCoordinator::hasVmIn(const ZoneId &Zone) const {
+  return std::ranges::find(this->Vms, Zone, &VmRecord::Zone) != this->Vms.end();
+}
+
 bool VmCoordinator::hasOpenWave() const {
   return std::ranges::any_of(
       this->Waves, [](const auto &Entry) { return !Entry.second.Completed; });
--- a/packages/site/src/vmcoordinator.h
+++ b/packages/site/src/vmcoordinator.h
@@ -30,6 +30,7 @@
   OwnershipLease &Ownership;
   AsyncEvent &SchedulingEvent;
   Metrics &Stats;
+  const ZoneEvacuations &Evacuations;
 };
 
 class VmCoordinator : public std::enable_shared_from_this<VmCoordinator> {
@@ -43,6 +44,8 @@
   void stop() { this->Stopped = true; }
   void configure(const SiteConfiguration &Next) { this->Configuration = Next; }
   void addWaves(const std::vector<MaintenanceWave> &Waves);
+  /// \returns whether a VM of \p Zone is in the latest list.
+  bool hasVmIn(const ZoneId &Zone) const;
 
 private:
   struct VmProgress {
@@ -82,6 +85,8 @@
   Async<void> moveVm(VmId Vm);
   void retireReplacedUpstreams(Instant RequestedAt);
   void updateMoves();
+  /// Cancels the drains of VMs whose zone is being evacuated.
+  void cancelEvacuatedDrains();
   void logPools(const PoolPlan &Plan, Instant Now);
   /// Updates the move of \p Id. \returns whether it has finished or was not
   /// carried out.
--- a/packages/site/src/vmmoves.cpp
+++ b/packages/site/src/vmmoves.cpp
@@ -38,6 +38,9 @@
     const auto Pool = Views.find(Vm.Pool);
     if (Pool == Views.end())
       continue;
+    // Nothing may be started on it, so that the pool needs others.
+    if (this->Deps.Evacuations.isEvacuated(Vm.Zone))
+      continue;
     const auto Move = this->Moves.find(Vm.Id);
     const bool Moving = Move != this->Moves.end() && Move->second.CommandSent;
     if (Moving || Vm.State == VmState::Moving) {
@@ -70,6 +73,17 @@
   return List;
 }
 
+void VmCoordinator::cancelEvacuatedDrains() {
+  std::erase_if(this->Moves, [&](const auto &Entry) {
+    const VmRecord *Vm = this->findVm(Entry.first);
+    if (!Vm || Entry.second.CommandSent ||
+        !this->Deps.Evacuations.isEvacuated(Vm->Zone))
+      return false;
+    this->Deps.JobScheduler.cordon(Entry.second.Upstream, false);
+    return true;
+  });
+}
+
 void VmCoordinator::updateMoves() {
   const Instant Now = this->Deps.Clock.now();
   for (auto Entry = this->Moves.begin(); Entry != this->Moves.end();)
@@ -134,6 +148,7 @@
 
 Async<void> VmCoordinator::moveVmsBetweenPools() {
   const Instant Now = this->Deps.Clock.now();
+  this->cancelEvacuatedDrains();
   std::int64_t CpuMilliOfVm = 0;
   for (const VmRecord &Vm : this->Vms)
     CpuMilliOfVm = std::max(CpuMilliOfVm, Vm.Capacity.CpuMilli);
--- a/packages/site/src/vmwaves.cpp
+++ b/packages/site/src/vmwaves.cpp
@@ -68,6 +68,9 @@
   const Instant Now = this->Deps.Clock.now();
   std::map<PoolId, WavePool> Pools;
   for (const VmRecord &Vm : this->Vms) {
+    // Neither capacity nor taken out of service by a wave.
+    if (this->Deps.Evacuations.isEvacuated(Vm.Zone))
+      continue;
     WavePool &Pool = Pools[Vm.Pool];
     const bool Leaving =
         std::ranges::any_of(this->Waves, [&](const auto &Entry) {
@@ -107,6 +110,7 @@
       continue;
     View.CpuMilliOfVm = std::max(View.CpuMilliOfVm, Vm->Capacity.CpuMilli);
     const UpstreamLoad Load = this->Deps.JobScheduler.loadOf(Vm->Upstream, Now);
+    const bool LoadKnown = Load.Fresh || this->isStandby(Vm->Pool);
     View.Vms.push_back(
         {.Id = Id,
          .Pool = Vm->Pool,
@@ -114,11 +118,13 @@
          .Up = Vm->State == VmState::Up && !this->Moves.contains(Id),
          .Standby = this->isStandby(Vm->Pool),
          // An upstream whose load is unknown counts as having a run.
-         .Runs = Load.Fresh || this->isStandby(Vm->Pool) ? Load.Runs : 1,
+         .Runs = LoadKnown ? Load.Runs : 1,
          .CanInterrupt =
              this->isStandby(Vm->Pool) ||
              this->Deps.JobScheduler.canInterrupt(Vm->Upstream, Now),
          .UsedCpuMilli = Load.Used.CpuMilli,
+         .Unused = LoadKnown && Load.Runs == 0 &&
+                   this->Deps.Evacuations.isEvacuated(Vm->Zone),
          .PreparingSince = Progress.StageSince});
   }
   return View;
