Placement prefers healthy and faster upstreams

Jobs end late because one task runs on a slow upstream while others are free: an upstream is either failing or not, its speed is not measured, and a success resets its consecutive failures, so that one which fails every second task is chosen again at once.

Change (compare-upstream-speed; off: as before): ended and overdue runs are compared with the forecast, one look-up in expectedDuration(). Slow and failing upstreams come after all others but are used if these are full; for the last quarter of a step also before rack and maintenance. A step is spread over racks and zones among upstreams that are equally full; packing is kept and no idle VM is opened for it.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -53,6 +53,12 @@
   std::int64_t GivenUpJobs = 0; ///< Jobs that failed because of crashes.
 };
 
+/// Effects of SchedulingPolicy::CompareUpstreamSpeed.
+struct SpeedCounts {
+  int SlowUpstreams = 0;      ///< At present, including unhealthy ones.
+  int UnhealthyUpstreams = 0; ///< At present; see UpstreamHealth.
+};
+
 struct UpstreamLoad {
   /// Whether the upstream has answered this holder recently. Otherwise the
   /// other fields may be out of date.
@@ -176,6 +182,7 @@
   /// never answered.
   std::vector<UpstreamId> unansweredUpstreams(Instant ReportedBefore) const;
   CrashCounts crashCounts() const;
+  SpeedCounts speedCounts() const;
   UpstreamLoad loadOf(const UpstreamId &Id, Instant Now) const;
   /// Applies the active and ended runs listed by an upstream.
   /// \param SentAt when the request for the listing was sent.
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -15,8 +15,19 @@
 constexpr double FailureWeight = 1000;
 constexpr double MaintenanceWeight = 200;
 constexpr double RackWeight = 100;
+/// Above MaintenanceWeight and RackWeight together: the last tasks of a step
+/// determine its end.
+constexpr double EndOfStepWeight = 400;
+/// Multiplied by the slowdown, which is at most 4, and by the failure rate, at
+/// most 1. Their sum is below RackWeight. A slow upstream has a slowdown of at
+/// least 1.3, so that it comes after all others however full these are.
+constexpr double SlownessWeight = 15;
+constexpr double FailureRateWeight = 30;
 constexpr double BestEffortWeight = 50;
 constexpr double PackingWeight = 10;
+/// Multiplied by a part of at most 1. Below the packing score of the smallest
+/// usual task, 3 of 64 processors, so that spreading a step costs no VM.
+constexpr double SpreadWeight = 0.4;
 
 bool hasLabel(const UpstreamReport &Report, const std::string &Label) {
   return std::ranges::find(Report.Labels, Label) != Report.Labels.end();
@@ -29,6 +40,16 @@
   });
 }
 
+double healthPenalty(const UpstreamHealth &Health, bool EndsStep) {
+  double Penalty = 0;
+  if (Health.isSlow())
+    Penalty += SlownessWeight * Health.Slowdown;
+  if (!Health.isHealthy())
+    Penalty += FailureRateWeight * Health.FailureRate +
+               (EndsStep ? EndOfStepWeight : 0);
+  return Penalty;
+}
+
 bool hasValidTicket(const StepRecord &Record, const UpstreamId &Id,
                     Instant Now) {
   const auto Found = Record.Tickets.find(Id);
@@ -45,6 +66,20 @@
              : std::string_view();
 }
 
+void StepSpread::add(std::string_view Rack, std::string_view Zone) {
+  this->Runs.emplace_back(Rack, Zone);
+}
+
+double StepSpread::sharedWith(const UpstreamRecord &Candidate) const {
+  if (this->Runs.empty())
+    return 0;
+  double Shared = 0;
+  for (const auto &[Rack, Zone] : this->Runs)
+    Shared += 0.5 * (Rack == Candidate.rack()) +
+              0.5 * (Zone == Candidate.Report.Zone.str());
+  return Shared / double(this->Runs.size());
+}
+
 Resources reservedResources(const StepSpec &Step) {
   Resources Reserved = Step.Requested;
   if (Step.BestEffort)
@@ -94,6 +129,7 @@
   // If it crashes its upstream, few others are lost.
   if (isSuspect(Request.Task->Crashes))
     return Score - double(Candidate.Runs.size());
+  Score -= healthPenalty(Candidate.Health, Request.EndsStep);
   // A long-running task would have to be evacuated again, and its availability
   // budget lets few tasks move at a time.
   if (Request.Step->LongRunning && Candidate.MaintenanceDue)
@@ -111,6 +147,10 @@
   // Best-effort tasks prefer upstreams with little reserved CPU.
   if (Request.Step->BestEffort)
     return Score - BestEffortWeight * Used;
+  // An idle VM is left to the pool planner, also if its rack is preferred.
+  if (Request.Spread)
+    Score -= SpreadWeight * (Request.Spread->sharedWith(Candidate) +
+                             (!SpreadsLoad && Candidate.Runs.empty()));
   return Score + PackingWeight * (SpreadsLoad ? -Used : Used);
 }
 
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -9,11 +9,27 @@
 /// reserved. All other tasks are packed onto the fullest upstreams, so that
 /// whole VMs stay idle and the pool planner can move them. An upstream with
 /// recent failures is the last choice: failing tasks free its capacity quickly,
-/// so that it would otherwise be chosen again.
+/// so that it would otherwise be chosen again. An upstream that is slow or that
+/// often fails comes after the others, but is still used if they are full.
 
 namespace sardinerill::site {
 
-/// The task to place. The pointers must not be null.
+/// Failure domains of the present runs of a step.
+class StepSpread {
+public:
+  /// Counts a run on an upstream of \p Rack and \p Zone, whose texts must
+  /// outlive this object.
+  void add(std::string_view Rack, std::string_view Zone);
+  /// \returns the part, 0 to 1, of the runs that share the rack or the zone of
+  /// \p Candidate; a run that shares only one of them counts half.
+  double sharedWith(const UpstreamRecord &Candidate) const;
+
+private:
+  /// Rack and zone of each run.
+  std::vector<std::pair<std::string_view, std::string_view>> Runs;
+};
+
+/// The task to place. Step, Record and Task must not be null.
 struct PlacementRequest {
   const StepSpec *Step = nullptr;
   const StepRecord *Record = nullptr;
@@ -24,6 +40,10 @@
   const TaskRecord *Task = nullptr;
   bool NeedsTicket = false;
   Instant Now{};
+  /// One of the last tasks of its step to be started.
+  bool EndsStep = false;
+  /// If set, the task prefers other racks and zones than the step's runs.
+  const StepSpread *Spread = nullptr;
 };
 
 /// \returns whether \p Candidate meets all constraints of the task.
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -396,6 +396,7 @@
   Scheduling.relocateLongRunning(Now);
   Scheduling.updatePossibleInheritedUse(Now);
   Scheduling.MaxFree.clear();
+  Scheduling.updateHealth(Now);
   std::vector<WaitingStep> Waiting = Scheduling.waitingSteps(Now, UnixMs);
   std::ranges::stable_sort(Waiting, isPlacedBefore, &WaitingStep::Work);
   // First, because they need an upstream on which nothing has just begun.
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -2,6 +2,7 @@
 
 #include "sardinerill/scheduling/commands.h"
 #include "sardinerill/scheduling/jobprogress.h"
+#include "sardinerill/upstreamspeed/upstreamspeeds.h"
 
 #include <functional>
 #include <memory>
@@ -49,6 +50,10 @@
   /// Has outlived the time after its start within which it could crash its
   /// upstream; see crashsuspects.h.
   bool Settled = false;
+  /// Accepted as a fresh run at PhaseChangedAt, so that its age is known.
+  bool StartKnown = false;
+  bool Resumed = false;  ///< Started from a checkpoint.
+  bool Measured = false; ///< Counted in Scheduler::Impl::Speeds.
 };
 
 using RunPtr = std::shared_ptr<Run>;
@@ -145,6 +150,9 @@
   /// The run of a suspect, beside which nothing is started; see
   /// crashsuspects.h.
   RunPtr OnProbation;
+  /// Measured speed and failures; updated in each round. Normal unless
+  /// SchedulingPolicy::CompareUpstreamSpeed is set.
+  UpstreamHealth Health;
 
   Resources freeCapacity() const { return this->Report.Capacity - this->Used; }
   /// \returns whether new tasks may be placed here.
--- a/packages/scheduling/src/schedulerplacement.cpp
+++ b/packages/scheduling/src/schedulerplacement.cpp
@@ -19,9 +19,21 @@
 /// before it counts as late: estimates are off by half, and the work done so
 /// far is wasted if the job is not finished.
 constexpr double LatenessTolerance = 0.4;
+/// The last tasks of a step are those of which no more than this part of the
+/// step is left to be started, and at least one.
+constexpr std::size_t LastTasksDivisor = 4;
 /// Safety margin: tickets are not used within this time before they expire.
 constexpr milliseconds TicketMargin{150};
 
+/// \returns whether only the last tasks of \p Step are left to be started.
+bool isNearEnd(const StepRecord &Step) {
+  const auto Left = std::ranges::count_if(Step.Tasks, [](const auto &Task) {
+    return !Task.Done && Task.Runs.empty();
+  });
+  return std::size_t(Left) <=
+         std::max<std::size_t>(1, Step.Tasks.size() / LastTasksDivisor);
+}
+
 } // namespace
 
 bool Scheduler::Impl::hasWaitingTask(const StepRecord &Step,
@@ -166,6 +178,7 @@
   const RunPtr Started =
       this->addRun(Upstream, Id, Spec, Waiting.Job->Spec.Organisation,
                    RunPhase::Starting, Now);
+  Started->Resumed = !Checkpoint.empty();
   StartCommand Start{Upstream.Report.Id, Id, Waiting.Job->Spec.Payload,
                      Checkpoint, Ticket};
   const CrashRecord &Crashes = Record.Tasks[std::size_t(Index)].Crashes;
@@ -209,13 +222,17 @@
     return false;
   if (!this->mayFitInPool(Waiting.Queue->Pool, reservedResources(Spec)))
     return false;
-  UpstreamRecord *Upstream =
-      this->chooseUpstream({.Step = &Spec,
-                            .Record = &Record,
-                            .Pool = Waiting.Queue->Pool,
-                            .Task = &Task,
-                            .NeedsTicket = Waiting.Queue->NeedsAdvice,
-                            .Now = Now});
+  const StepSpread Spread =
+      this->comparesSpeed() ? this->spreadOf(Record) : StepSpread{};
+  UpstreamRecord *Upstream = this->chooseUpstream(
+      {.Step = &Spec,
+       .Record = &Record,
+       .Pool = Waiting.Queue->Pool,
+       .Task = &Task,
+       .NeedsTicket = Waiting.Queue->NeedsAdvice,
+       .Now = Now,
+       .EndsStep = this->comparesSpeed() && isNearEnd(Record),
+       .Spread = this->comparesSpeed() ? &Spread : nullptr});
   if (!Upstream) {
     this->MaxFree.erase(Waiting.Queue->Pool);
     return false;
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -157,6 +157,8 @@
   switch (End.Kind) {
   case RunEnd::Done:
     Upstream.ConsecutiveFailures = 0;
+    if (Ended)
+      this->measureEndedRun(Upstream, *Job, Step, *Ended, Now);
     if (Ended && !Step.LongRunning && Step.Estimate.count() > 0) {
       const double Ratio = double((Now - Ended->PhaseChangedAt).count()) /
                            double(Step.Estimate.count());
@@ -183,6 +185,7 @@
     break;
   case RunEnd::Failed:
     recordFailure(Upstream, Now);
+    this->measureFailure(Upstream, Now);
     this->failTask(*Job, End.Run.Task, End.Run.Number, Now);
     break;
   case RunEnd::Stopped:
@@ -248,6 +251,7 @@
   else if (!Known->ReadySince)
     Known->ReadySince = Now;
   Known->Load = Listed.Load;
+  this->measureActiveRun(Upstream, *Known, Now);
   if (!Listed.Checkpoint.empty())
     if (TaskRecord *Task = this->task(Listed.Run.Task))
       Task->Checkpoint = Listed.Checkpoint;
@@ -356,6 +360,7 @@
     if (Started->Phase == RunPhase::Starting) {
       Started->Phase = RunPhase::Active;
       Started->PhaseChangedAt = Started->ProgressAt = Now;
+      Started->StartKnown = true;
     }
     return;
   }
@@ -366,6 +371,7 @@
     Started->Phase = RunPhase::Uncertain;
     Started->PhaseChangedAt = Now;
     Upstream.Unresponsive = true;
+    this->Inner->measureFailure(Upstream, Now);
     // The answer may only be slow. A long-running task that has begun would be
     // interrupted, so that the next listing decides.
     if (!Started->LongRunning)
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -199,6 +199,27 @@
                       &ShortTasks,
                   std::map<PoolId, PoolDemand> &Demand) const;
 
+  // Speed of upstreams (schedulerspeed.cpp)
+  bool comparesSpeed() const {
+    return this->Options.Policy.CompareUpstreamSpeed;
+  }
+  /// \returns the expected run time of a task of \p Step; 0 if not known.
+  Duration expectedDuration(const JobRecord &Job, const StepSpec &Step) const;
+  /// \returns whether the run time of \p Candidate depends on its task and
+  /// upstream only, and its start is known.
+  bool isMeasurable(const UpstreamRecord &Upstream, const Run &Candidate,
+                    const StepSpec &Step) const;
+  /// Records how a run took compared with its forecast, before the forecast
+  /// learns from it.
+  void measureEndedRun(const UpstreamRecord &Upstream, const JobRecord &Job,
+                       const StepSpec &Step, Run &Ended, Instant Now);
+  void measureActiveRun(const UpstreamRecord &Upstream, Run &Active,
+                        Instant Now);
+  void measureFailure(const UpstreamRecord &Upstream, Instant Now);
+  void updateHealth(Instant Now);
+  /// \returns the failure domains of the runs of \p Step.
+  StepSpread spreadOf(const StepRecord &Step) const;
+
   // Supervision of running tasks (schedulersupervision.cpp)
   void updateUnresponsiveZones();
   void replaceStuckRuns(Instant Now);
@@ -242,6 +263,7 @@
   std::map<OrganisationId, Resources> PossibleInheritedUse;
   std::vector<EndedInheritedJob> EndedInheritedJobs;
   std::map<QueueId, RunTimeFactor> RunTimeFactors;
+  UpstreamSpeeds Speeds;
   std::map<OrganisationId, ShareLimiter> ShareLimiters;
   std::map<QueueId, ArrivalRateEstimator> ArrivalRates;
   /// Upper bound of the free resources on any one upstream of a pool. It is
--- a/packages/scheduling/src/schedulersupervision.cpp
+++ b/packages/scheduling/src/schedulersupervision.cpp
@@ -166,6 +166,7 @@
                {{"run", describe(StuckRun->Id)},
                 {"upstream", Id.str()},
                 {"percent", std::to_string(StuckRun->Percent)}});
+      this->measureFailure(*Upstream, Now);
       Upstream->AvoidUntil = Now + StuckAvoidance;
       this->requestStop(StuckRun);
     }
--- a/packages/scheduling/tests/testsite.h
+++ b/packages/scheduling/tests/testsite.h
@@ -51,7 +51,8 @@
   std::set<RunId> Fenced;
   std::int64_t LastSequence = 0;
   bool Unreachable = false;
-  bool Hangs = false; ///< Answers, but lists its tasks with a load of 0.
+  double Slowdown = 1; ///< Factor of the run times of tasks started here.
+  bool Hangs = false;  ///< Answers, but lists its tasks with a load of 0.
 
   RunListing listing(std::int64_t NowMs) const {
     RunListing Listing{.ClockMs = NowMs,
@@ -190,7 +191,9 @@
           Start.Upstream, Start.Run, StartOutcome::Unknown, at(this->NowMs));
       return;
     }
-    Upstream.Running[Start.Run] = {this->NowMs + this->TaskDurationMs, 0};
+    Upstream.Running[Start.Run] = {
+        this->NowMs + std::int64_t(this->TaskDurationMs * Upstream.Slowdown),
+        0};
     this->JobScheduler.handleStartOutcome(
         Start.Upstream, Start.Run, StartOutcome::Accepted, at(this->NowMs));
   }
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -433,6 +433,11 @@
                             double(Crashes.Suspicions));
   this->Deps.Stats.setGauge("holder_crash_failed_jobs",
                             double(Crashes.GivenUpJobs));
+  const SpeedCounts Speed = this->JobScheduler.speedCounts();
+  this->Deps.Stats.setGauge("holder_slow_upstreams",
+                            double(Speed.SlowUpstreams));
+  this->Deps.Stats.setGauge("holder_unhealthy_upstreams",
+                            double(Speed.UnhealthyUpstreams));
 }
 
 } // namespace sardinerill::site
