The scheduler uses learned run times behind learn-run-times

Cause: order, feasibility and demand use the caller's estimates times one factor for each queue.

Change: with SchedulingPolicy::LearnRunTimes, runs that ended as done, whose start is known exactly and which were not paced teach a RunTimeModel. Runs that continued from a checkpoint are kept apart. The critical path takes the median end of the slowest task of each step, CPU seconds take the mean, and running tasks count with the time that is left for their age. With the switch off, the code path is the former one. takeRunTimeAccuracy() reports the relative errors of forecasts and estimates.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "sardinerill/runtimes/runtimeaccuracy.h"
+#include "sardinerill/runtimes/runtimemodel.h"
 #include "sardinerill/scheduling/commands.h"
 #include "sardinerill/scheduling/jobprogress.h"
 #include "sardinerill/scheduling/schedulingpolicy.h"
@@ -222,6 +224,15 @@
   /// \returns their ids.
   std::vector<JobId> takeExpired(Instant Now);
 
+  /// \returns the run times learned; empty unless
+  /// SchedulingPolicy::LearnRunTimes is set.
+  const RunTimeModel &runTimes() const;
+  /// Adds what an earlier holder has learned.
+  void mergeRunTimes(const RunTimeSummary &Earlier);
+  /// \returns the errors of the forecasts and the callers' estimates of the
+  /// runs that ended since the last call.
+  std::map<QueueId, RunTimeAccuracyReport> takeRunTimeAccuracy();
+
   /// The records are defined in the private header schedulermodel.h; other
   /// packages use only the keys and the number of entries.
   const std::map<UpstreamId, std::unique_ptr<UpstreamRecord>> &
--- a/packages/scheduling/src/jobgraph.cpp
+++ b/packages/scheduling/src/jobgraph.cpp
@@ -32,9 +32,10 @@
   return Duration(std::int64_t(double(Estimate.count()) * Factor));
 }
 
-template <typename Predicate>
-Duration criticalPathOf(const JobSpec &Spec, double Factor,
-                        Predicate IsUnfinished) {
+/// \param RemainingOf returns the remaining duration of the step with the given
+/// index.
+template <typename Function>
+Duration criticalPathOf(const JobSpec &Spec, Function RemainingOf) {
   std::vector<Duration> EndOf(Spec.Steps.size());
   Duration Longest{};
   for (std::size_t Index = 0; Index < Spec.Steps.size(); ++Index) {
@@ -43,14 +44,36 @@
     for (int Dependency : Spec.Steps[Index].DependsOn)
       if (Dependency >= 0 && Dependency < int(Index))
         Start = std::max(Start, EndOf[Dependency]);
-    EndOf[Index] = Start;
-    if (IsUnfinished(int(Index)))
-      EndOf[Index] += scaled(Spec.Steps[Index].Estimate, Factor);
+    EndOf[Index] = Start + RemainingOf(int(Index));
     Longest = std::max(Longest, EndOf[Index]);
   }
   return Longest;
 }
 
+/// Running tasks of a step.
+struct RunningTasks {
+  int Count = 0;
+  Duration MeanAge{};
+};
+
+RunningTasks runningTasksOf(const StepRecord &Record, Instant Now) {
+  RunningTasks Running;
+  for (const TaskRecord &Task : Record.Tasks) {
+    if (Task.Done || Task.Runs.empty())
+      continue;
+    ++Running.Count;
+    const Run &First = *Task.Runs.front();
+    if (First.Phase == RunPhase::Active)
+      Running.MeanAge += Now - First.PhaseChangedAt;
+  }
+  if (Running.Count > 0)
+    Running.MeanAge /= Running.Count;
+  return Running;
+}
+
+// Run times are in microseconds and CPU in thousandths of a processor.
+constexpr double UnitsPerCpuSecond = 1e9;
+
 } // namespace
 
 OccurrenceRecord makeOccurrence(const JobSpec &Spec, int Occurrence,
@@ -87,23 +110,25 @@
 }
 
 Duration criticalPath(const JobSpec &Spec, double EstimateFactor) {
-  return criticalPathOf(Spec, EstimateFactor, [](int) { return true; });
+  return criticalPathOf(Spec, [&](int Step) {
+    return scaled(Spec.Steps[Step].Estimate, EstimateFactor);
+  });
 }
 
 Duration remainingCriticalPath(const JobSpec &Spec,
                                const OccurrenceRecord &Occurrence,
                                double EstimateFactor) {
-  return criticalPathOf(Spec, EstimateFactor, [&](int Step) {
+  return criticalPathOf(Spec, [&](int Step) {
     const StepRecord &Record = Occurrence.Steps[Step];
-    return Record.DoneCount < int(Record.Tasks.size());
+    return Record.DoneCount < int(Record.Tasks.size())
+               ? scaled(Spec.Steps[Step].Estimate, EstimateFactor)
+               : Duration{};
   });
 }
 
 double remainingCpuSeconds(const JobSpec &Spec,
                            const OccurrenceRecord &Occurrence,
                            double EstimateFactor) {
-  // Estimates are in microseconds and CPU in thousandths of a processor.
-  constexpr double UnitsPerCpuSecond = 1e9;
   double Sum = 0;
   for (std::size_t Index = 0; Index < Spec.Steps.size(); ++Index) {
     const StepRecord &Record = Occurrence.Steps[Index];
@@ -114,6 +139,60 @@
   return Sum / UnitsPerCpuSecond;
 }
 
+double cpuSeconds(const JobSpec &Spec,
+                  std::span<const StepForecast> Forecasts) {
+  double Sum = 0;
+  for (std::size_t Index = 0; Index < Spec.Steps.size(); ++Index)
+    Sum += double(Spec.Steps[Index].Count) *
+           double(Spec.Steps[Index].Requested.CpuMilli) *
+           double(Forecasts[Index].Mean.count());
+  return Sum / UnitsPerCpuSecond;
+}
+
+Duration criticalPath(const JobSpec &Spec,
+                      std::span<const StepForecast> Forecasts) {
+  return criticalPathOf(
+      Spec, [&](int Step) { return Forecasts[std::size_t(Step)].Slowest; });
+}
+
+RemainingWork remainingWork(const JobSpec &Spec,
+                            const OccurrenceRecord &Occurrence,
+                            std::span<const StepForecast> Forecasts,
+                            const RunTimeModel &RunTimes, Instant Now) {
+  RemainingWork Work;
+  Work.CriticalPath = criticalPathOf(Spec, [&](int Index) {
+    const StepSpec &Step = Spec.Steps[std::size_t(Index)];
+    const StepRecord &Record = Occurrence.Steps[std::size_t(Index)];
+    const StepForecast &Forecast = Forecasts[std::size_t(Index)];
+    const int Unfinished = int(Record.Tasks.size()) - Record.DoneCount;
+    if (Unfinished <= 0)
+      return Duration{};
+    const RunningTasks Running =
+        Step.LongRunning ? RunningTasks{} : runningTasksOf(Record, Now);
+    const int Waiting = Unfinished - Running.Count;
+    double TaskUs = double(Waiting) * double(Forecast.Mean.count());
+    Duration Remaining{};
+    if (Waiting == int(Record.Tasks.size()) || Step.LongRunning)
+      Remaining = Forecast.Slowest;
+    else if (Waiting > 0)
+      Remaining = RunTimes.slowest(Forecast.Key, Step.Estimate, Waiting);
+    if (Running.Count > 0) {
+      TaskUs +=
+          double(Running.Count) *
+          double(
+              RunTimes.remaining(Forecast.Key, Step.Estimate, Running.MeanAge)
+                  .count());
+      Remaining = std::max(
+          Remaining, RunTimes.slowestRemaining(Forecast.Key, Step.Estimate,
+                                               Running.MeanAge, Running.Count));
+    }
+    Work.CpuSeconds +=
+        TaskUs * double(Step.Requested.CpuMilli) / UnitsPerCpuSecond;
+    return Remaining;
+  });
+  return Work;
+}
+
 JobProgress progressOf(const JobRecord &Job) {
   JobProgress Progress{.State = Job.State};
   // Tasks of an ended job never run again, so that only its state is stored.
--- a/packages/scheduling/src/jobgraph.h
+++ b/packages/scheduling/src/jobgraph.h
@@ -2,6 +2,8 @@
 
 #include "schedulermodel.h"
 
+#include <span>
+
 /// \file
 /// Dependency graph of a job's steps, and its remaining work.
 
@@ -31,6 +33,27 @@
                            const OccurrenceRecord &Occurrence,
                            double EstimateFactor);
 
+/// What is left of an occurrence.
+struct RemainingWork {
+  Duration CriticalPath{};
+  double CpuSeconds = 0;
+};
+
+/// \returns the CPU seconds of all tasks of \p Spec by \p Forecasts.
+double cpuSeconds(const JobSpec &Spec, std::span<const StepForecast> Forecasts);
+
+/// \returns the length of the critical path through all steps by
+/// \p Forecasts. The end of a step is that of its slowest task.
+Duration criticalPath(const JobSpec &Spec,
+                      std::span<const StepForecast> Forecasts);
+
+/// \returns the work of the tasks not yet done. What is left of a running task
+/// follows from its age.
+RemainingWork remainingWork(const JobSpec &Spec,
+                            const OccurrenceRecord &Occurrence,
+                            std::span<const StepForecast> Forecasts,
+                            const RunTimeModel &RunTimes, Instant Now);
+
 /// \returns the progress of \p Job to be stored.
 JobProgress progressOf(const JobRecord &Job);
 
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -159,7 +159,10 @@
     if (!Inherited && !Job->Occurrences.empty() &&
         !hasLongRunningStep(Job->Spec))
       this->Inner->ArrivalRates[Job->Spec.Queue.Id].add(
-          remainingCpuSeconds(Job->Spec, Job->Occurrences.begin()->second, 1.0),
+          this->Inner->Options.Policy.LearnRunTimes
+              ? this->Inner->forecastOf(*Job, Now).CpuSeconds
+              : remainingCpuSeconds(Job->Spec, Job->Occurrences.begin()->second,
+                                    1.0),
           Now);
     this->Inner->LiveJobs.insert(Job->Spec.Id);
   }
--- a/packages/scheduling/src/schedulerdemand.cpp
+++ b/packages/scheduling/src/schedulerdemand.cpp
@@ -94,6 +94,7 @@
   for (const auto &[Queue, Estimator] : this->Inner->ArrivalRates)
     if (const QueueSettings *Settings =
             this->Inner->Configuration.queue(Queue)) {
+      // Forecasts are already part of the arriving work, see addJob().
       const auto Learned = this->Inner->RunTimeFactors.find(Queue);
       const double Factor = Learned == this->Inner->RunTimeFactors.end()
                                 ? 1.0
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinerill/runtimes/runtimemodel.h"
 #include "sardinerill/scheduling/commands.h"
 #include "sardinerill/scheduling/jobprogress.h"
 
@@ -46,6 +47,11 @@
   std::int64_t Load = 0;
   int Pace = 100;
   Instant PacedAt{};
+  /// PhaseChangedAt is the start of the task, and not a later time at which an
+  /// upstream was found to run it.
+  bool StartKnown = false;
+  bool Resumed = false; ///< Started from a checkpoint.
+  Duration Forecast{};  ///< Median of the forecast at the start; 0: none.
   /// Has outlived the time after its start within which it could crash its
   /// upstream; see crashsuspects.h.
   bool Settled = false;
@@ -81,6 +87,22 @@
   int UnfinishedTasks = 0; ///< Tasks not yet done.
 };
 
+/// Forecast run times of a step's tasks.
+struct StepForecast {
+  RunTimeKey Key;
+  Duration Mean{};    ///< Of one task.
+  Duration Slowest{}; ///< Median time until all tasks that start together end.
+};
+
+/// Forecast of a job, unused if run times are not learned. It is renewed while
+/// the job waits, because the run times learned change.
+struct JobForecast {
+  std::vector<StepForecast> Steps;
+  Duration CriticalPath{};
+  double CpuSeconds = 0; ///< Of all tasks of one occurrence.
+  Instant MadeAt{};
+};
+
 struct JobRecord {
   JobSpec Spec;
   JobState State = JobState::Queued;
@@ -94,7 +116,8 @@
                           ///< was accepted.
   /// Length of the critical path by the caller's estimates.
   Duration EstimatedCriticalPath{};
-  std::int64_t Revision = 0; ///< Incremented by each change to be stored.
+  mutable JobForecast Forecast; ///< See Scheduler::Impl::forecastOf().
+  std::int64_t Revision = 0;    ///< Incremented by each change to be stored.
   std::int64_t FetchedRevision = 0; ///< Passed to the caller for storing.
   std::int64_t StoredRevision = 0;  ///< Confirmed as stored.
 
--- a/packages/scheduling/src/schedulerplacement.cpp
+++ b/packages/scheduling/src/schedulerplacement.cpp
@@ -35,27 +35,37 @@
                                            const QueueSettings &Queue,
                                            const OccurrenceRecord &Occurrence,
                                            Instant Now) const {
-  const auto Learned = this->RunTimeFactors.find(Job.Spec.Queue.Id);
-  const double Factor =
-      Learned == this->RunTimeFactors.end() ? 1.0 : Learned->second.Factor;
-  const Duration CriticalPath(
-      std::int64_t(Factor * double(Job.EstimatedCriticalPath.count())));
+  Duration CriticalPath{};
+  RemainingWork Remaining;
+  if (this->Options.Policy.LearnRunTimes) {
+    const JobForecast &Forecast = this->forecastOf(Job, Now);
+    CriticalPath = Forecast.CriticalPath;
+    Remaining = Job.Started ? remainingWork(Job.Spec, Occurrence,
+                                            Forecast.Steps, this->RunTimes, Now)
+                            : RemainingWork{CriticalPath, Forecast.CpuSeconds};
+  } else {
+    const auto Learned = this->RunTimeFactors.find(Job.Spec.Queue.Id);
+    const double Factor =
+        Learned == this->RunTimeFactors.end() ? 1.0 : Learned->second.Factor;
+    CriticalPath = Duration(
+        std::int64_t(Factor * double(Job.EstimatedCriticalPath.count())));
+    Remaining = {remainingCriticalPath(Job.Spec, Occurrence, Factor),
+                 remainingCpuSeconds(Job.Spec, Occurrence, Factor)};
+  }
   const Duration AllowedTime =
       Duration(std::int64_t(Queue.CriticalPathFactor *
                             double(CriticalPath.count()))) +
       Queue.LatencyTarget;
   const Instant Objective = Job.AcceptedAt + AllowedTime;
-  const Duration RemainingTime =
-      remainingCriticalPath(Job.Spec, Occurrence, Factor);
   const Duration Tolerance =
       Job.Started ? Duration(std::int64_t(LatenessTolerance *
                                           double(AllowedTime.count())))
                   : Duration{};
   return {.Priority = Queue.Priority,
-          .CanMeetObjective = Now + RemainingTime <= Objective + Tolerance,
+          .CanMeetObjective =
+              Now + Remaining.CriticalPath <= Objective + Tolerance,
           .OverShare = Job.OverShare,
-          .RemainingCpuSeconds =
-              remainingCpuSeconds(Job.Spec, Occurrence, Factor),
+          .RemainingCpuSeconds = Remaining.CpuSeconds,
           .Objective = Objective,
           .AcceptedAt = Job.AcceptedAt};
 }
@@ -166,6 +176,14 @@
   const RunPtr Started =
       this->addRun(Upstream, Id, Spec, Waiting.Job->Spec.Organisation,
                    RunPhase::Starting, Now);
+  Started->Resumed = !Checkpoint.empty();
+  if (this->Options.Policy.LearnRunTimes && !Spec.LongRunning)
+    Started->Forecast = this->RunTimes
+                            .forecast(this->forecastOf(*Waiting.Job, Now)
+                                          .Steps[std::size_t(Waiting.Step)]
+                                          .Key,
+                                      Spec.Estimate)
+                            .Median;
   StartCommand Start{Upstream.Report.Id, Id, Waiting.Job->Spec.Payload,
                      Checkpoint, Ticket};
   const CrashRecord &Crashes = Record.Tasks[std::size_t(Index)].Crashes;
--- a/packages/scheduling/src/schedulerrestart.cpp
+++ b/packages/scheduling/src/schedulerrestart.cpp
@@ -47,6 +47,7 @@
   // Only a listing that is requested from now on says anything about the run.
   Kept->PhaseChangedAt = Kept->ProgressAt = Now;
   Kept->ReadySince.reset();
+  Kept->StartKnown = false;
   // The next listing decides about a long-running task with an unknown start,
   // as after the start itself.
   const bool Stop = Kept->StopRequested || (MayStartLate && !Kept->LongRunning);
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -157,7 +157,9 @@
   switch (End.Kind) {
   case RunEnd::Done:
     Upstream.ConsecutiveFailures = 0;
-    if (Ended && !Step.LongRunning && Step.Estimate.count() > 0) {
+    if (Ended && !Step.LongRunning && this->Options.Policy.LearnRunTimes) {
+      this->learnRunTime(*Job, Step, *Ended, Now);
+    } else if (Ended && !Step.LongRunning && Step.Estimate.count() > 0) {
       const double Ratio = double((Now - Ended->PhaseChangedAt).count()) /
                            double(Step.Estimate.count());
       double &Factor = this->RunTimeFactors[Job->Spec.Queue.Id].Factor;
@@ -209,6 +211,9 @@
                 {"upstream", Upstream.Report.Id.str()}});
     }
     if (Known->Phase != RunPhase::Active) {
+      // The listing may arrive before the answer to the start.
+      Known->StartKnown = Known->Phase == RunPhase::Starting &&
+                          Known->PhaseChangedAt == Known->StartedAt;
       Known->Phase = RunPhase::Active;
       Known->PhaseChangedAt = Known->ProgressAt = Now;
     }
@@ -355,6 +360,7 @@
     this->Inner->ZoneAnsweredAt[Upstream.Report.Zone] = Now;
     if (Started->Phase == RunPhase::Starting) {
       Started->Phase = RunPhase::Active;
+      Started->StartKnown = true;
       Started->PhaseChangedAt = Started->ProgressAt = Now;
     }
     return;
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -184,6 +184,14 @@
   void updatePossibleInheritedUse(Instant Now);
   Resources possibleInheritedUse(const OrganisationId &Organisation) const;
 
+  // Run times learned (schedulerruntimes.cpp)
+  /// \returns the forecast of \p Job, renewed if it is too old. Only if
+  /// SchedulingPolicy::LearnRunTimes is set.
+  const JobForecast &forecastOf(const JobRecord &Job, Instant Now) const;
+  /// Learns from the end of \p Ended as done.
+  void learnRunTime(const JobRecord &Job, const StepSpec &Step,
+                    const Run &Ended, Instant Now);
+
   // Demand (schedulerdemand.cpp)
   /// \returns the weight, 0 to 1, of the CPU of \p Job in the demand for VMs.
   double demandWeight(const JobRecord &Job, const OccurrenceRecord &Occurrence,
@@ -241,7 +249,10 @@
   /// answered.
   std::map<OrganisationId, Resources> PossibleInheritedUse;
   std::vector<EndedInheritedJob> EndedInheritedJobs;
+  /// Not used if SchedulingPolicy::LearnRunTimes is set.
   std::map<QueueId, RunTimeFactor> RunTimeFactors;
+  RunTimeModel RunTimes; ///< Empty otherwise.
+  std::map<QueueId, RunTimeAccuracy> Accuracies;
   std::map<OrganisationId, ShareLimiter> ShareLimiters;
   std::map<QueueId, ArrivalRateEstimator> ArrivalRates;
   /// Upper bound of the free resources on any one upstream of a pool. It is
