Learned run times are stored in the table and their accuracy is reported

Cause: what a holder has learned about run times was lost with it, and nothing showed whether the forecasts are closer than the callers' estimates.

Change: RunTimeStorage writes the summary to runtimes/summary on condition of the epoch row, at most every 10 s and only if something was learned; a new holder reads it at its start, and uses the estimates if it is missing or unreadable. Every 10 s the holder logs runtimes.accuracy for each queue and sets gauges. Both only with learn-run-times.

--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -98,7 +98,8 @@
                             .JobScheduler = this->JobScheduler,
                             .Ownership = this->Ownership,
                             .SchedulingEvent = this->SchedulingEvent,
-                            .Stats = Deps.Stats})) {}
+                            .Stats = Deps.Stats})),
+      RunTimesStored(this->Deps.Store, this->Deps.Stats, this->Ownership) {}
 
 void Holder::run() {
   const auto Self = this->shared_from_this();
@@ -116,6 +117,9 @@
              std::to_string(this->Claim.LastInheritedVersion)}});
   spawn(this->Deps.Executor, "holder-load",
         [Self] { return Self->loadJobsAndStart(); });
+  if (this->Deps.Settings.Policy.LearnRunTimes)
+    spawn(this->Deps.Executor, "holder-run-times",
+          [Self] { return Self->runTimesLoop(); });
   spawn(this->Deps.Executor, "holder-vm-list",
         [Coordinator = this->Coordinator] {
           return Coordinator->listInitialVms();
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobtable.h"
+#include "runtimestorage.h"
 #include "upstreamlink.h"
 #include "vmcoordinator.h"
 
@@ -86,6 +87,10 @@
   void applyRegistry(const RegistrySnapshot &Snapshot);
   void sendCommand(Command &Issued);
   void publishGauges();
+  /// Loads what earlier holders have learned about run times, then logs the
+  /// accuracy of the forecasts and stores what was learned.
+  Async<void> runTimesLoop();
+  void publishRunTimeAccuracy();
 
   SiteDeps Deps;
   OwnershipClaim Claim;
@@ -106,6 +111,7 @@
   bool JobsAreStale = false;
   std::int64_t HeadVersion = 0; ///< Version of the progress head row.
   std::int64_t BatchNumber = 0;
+  RunTimeStorage RunTimesStored;
 };
 
 } // namespace sardinerill::site
--- a/packages/site/src/unixtime.cpp
+++ b/packages/site/src/unixtime.cpp
@@ -23,6 +23,8 @@
 
 RowKey progressHeadKey() { return {"ownership", "p", "progress-head"}; }
 
+RowKey runTimesKey() { return {"runtimes", "o", "summary"}; }
+
 RowKey ownershipKey() { return {"ownership", "o", "site"}; }
 
 } // namespace sardinerill::site
--- a/packages/site/src/unixtime.h
+++ b/packages/site/src/unixtime.h
@@ -21,6 +21,9 @@
 /// Row that every progress transaction expects and rewrites, so that a delayed
 /// transaction can't overwrite newer progress.
 RowKey progressHeadKey();
+/// Row with what the holder has learned about run times; in the partition of
+/// the epoch row, which is a precondition of its writes.
+RowKey runTimesKey();
 /// Row that names the holder; rewritten by each renewal.
 RowKey ownershipKey();
 
--- a/packages/site/tests/takeover_test.cpp
+++ b/packages/site/tests/takeover_test.cpp
@@ -178,3 +178,22 @@
   Next->stop();
   Daemon.runFor(milliseconds(2000));
 }
+
+TEST_CASE("a holder reads the learned run times only with the switch on") {
+  // A damaged row must not keep it from its work.
+  for (const bool Learns : {false, true}) {
+    DaemonFixture Daemon;
+    Daemon.Settings.Policy.LearnRunTimes = Learns;
+    Daemon.Store.apply({.Writes = {{runTimesKey(), "damaged"}}});
+    const auto Next = std::make_shared<Holder>(
+        Daemon.Deps, OwnershipTimings{},
+        OwnershipClaim{
+            .Token = 100, .Term = 1, .ClaimSentAt = Daemon.Clock.now()});
+    Next->run();
+    Daemon.runFor(milliseconds(200));
+    CHECK(Daemon.Stats.counter("run_times_unreadable_total") == int(Learns));
+    CHECK(Next->ready());
+    Next->stop();
+    Daemon.runFor(milliseconds(2000));
+  }
+}
