--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -10,8 +10,8 @@
 /// whole VMs stay idle and the pool planner can move them. An upstream with
 /// recent failures is the last choice: failing tasks free its capacity quickly,
 /// so that it would otherwise be chosen again. One that is still slow after its
-/// start, that is slower than others or that often fails comes after the others,
-/// but is still used if they are full.
+/// start, that is slower than others or that often fails comes after the
+/// others, but is still used if they are full.
 
 namespace sardinerill::site {
 
--- a/packages/scheduling/src/schedulerspeed.cpp
+++ b/packages/scheduling/src/schedulerspeed.cpp
@@ -24,7 +24,10 @@
 } // namespace
 
 Duration Scheduler::Impl::expectedDuration(const JobRecord &Job,
-                                           const StepSpec &Step) const {
+                                           const StepSpec &Step,
+                                           const Run &Candidate) const {
+  if (Candidate.Forecast > Duration::zero())
+    return Candidate.Forecast;
   const auto Learned = this->RunTimeFactors.find(Job.Spec.Queue.Id);
   const double Factor =
       Learned == this->RunTimeFactors.end() ? 1.0 : Learned->second.Factor;
@@ -54,7 +57,7 @@
   this->Speeds.recordRun(measuredVm(Upstream),
                          {.Group = Job.Spec.Queue.Id.str(),
                           .Measured = Now - Ended.PhaseChangedAt,
-                          .Expected = this->expectedDuration(Job, Step)},
+                          .Expected = this->expectedDuration(Job, Step, Ended)},
                          Now);
 }
 
@@ -66,7 +69,7 @@
   const StepSpec *Step = this->spec(Active.Id.Task);
   if (!Job || !Step || !this->isMeasurable(Upstream, Active, *Step))
     return;
-  const Duration Expected = this->expectedDuration(*Job, *Step);
+  const Duration Expected = this->expectedDuration(*Job, *Step, Active);
   const std::optional<Duration> Total =
       overdueDuration(Now - Active.PhaseChangedAt, Active.Percent, Expected);
   if (!Total)
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -184,6 +184,15 @@
   void updatePossibleInheritedUse(Instant Now);
   Resources possibleInheritedUse(const OrganisationId &Organisation) const;
 
+  // Run times learned (schedulerruntimes.cpp)
+  /// \returns the forecast of \p Job, renewed if it is too old. Only if
+  /// SchedulingPolicy::LearnRunTimes is set.
+  const JobForecast &forecastOf(const JobRecord &Job, Instant Now) const;
+  /// Learns from the end of \p Ended as done.
+  /// \param Slowdown of its upstream relative to others.
+  void learnRunTime(const JobRecord &Job, const StepSpec &Step,
+                    const Run &Ended, double Slowdown, Instant Now);
+
   // Demand (schedulerdemand.cpp)
   /// \returns the weight, 0 to 1, of the CPU of \p Job in the demand for VMs.
   double demandWeight(const JobRecord &Job, const OccurrenceRecord &Occurrence,
@@ -204,7 +213,8 @@
     return this->Options.Policy.CompareUpstreamSpeed;
   }
   /// \returns the expected run time of a task of \p Step; 0 if not known.
-  Duration expectedDuration(const JobRecord &Job, const StepSpec &Step) const;
+  Duration expectedDuration(const JobRecord &Job, const StepSpec &Step,
+                            const Run &Candidate) const;
   /// \returns whether the run time of \p Candidate depends on its task and
   /// upstream only, and its start is known.
   bool isMeasurable(const UpstreamRecord &Upstream, const Run &Candidate,
@@ -262,8 +272,11 @@
   /// answered.
   std::map<OrganisationId, Resources> PossibleInheritedUse;
   std::vector<EndedInheritedJob> EndedInheritedJobs;
+  /// Not used if SchedulingPolicy::LearnRunTimes is set.
   std::map<QueueId, RunTimeFactor> RunTimeFactors;
   UpstreamSpeeds Speeds;
+  RunTimeModel RunTimes; ///< Empty otherwise.
+  std::map<QueueId, RunTimeAccuracy> Accuracies;
   std::map<OrganisationId, ShareLimiter> ShareLimiters;
   std::map<QueueId, ArrivalRateEstimator> ArrivalRates;
   /// Upper bound of the free resources on any one upstream of a pool. It is
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobtable.h"
+#include "runtimestorage.h"
 #include "upstreamlink.h"
 #include "vmcoordinator.h"
 
@@ -93,6 +94,10 @@
   void publishGauges();
   /// \returns whether the operators' rows are known well enough to start tasks.
   bool knowsOperatorRows(Instant Now);
+  /// Loads what earlier holders have learned about run times, then logs the
+  /// accuracy of the forecasts and stores what was learned.
+  Async<void> runTimesLoop();
+  void publishRunTimeAccuracy();
 
   SiteDeps Deps;
   OwnershipClaim Claim;
@@ -115,6 +120,7 @@
   StartHold LastHold = StartHold::None;
   std::int64_t HeadVersion = 0; ///< Version of the progress head row.
   std::int64_t BatchNumber = 0;
+  RunTimeStorage RunTimesStored;
 };
 
 } // namespace sardinerill::site
