Organisations share short pools by what they use

While a pool is short, work was ordered by priority, a mark set at acceptance and remaining time, so that an organisation with small jobs delayed all others, and the largest jobs of a queue were not served.

With the policy fair-shares, the order is computed placement by placement: among work within its rate share that can meet its objective, started jobs go first, then the organisation with the least dominant use of the pool relative to its weight. Work that can't end within three times its allowed time goes last. The largest tenth of a queue's jobs and the fifth below it are preferred when they are started less than 0.6 times as often as all its jobs. A new holder counts inherited jobs against the rate shares again by time of acceptance. With the policy off, placement is as before.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -156,6 +156,10 @@
         Job->Occurrences[Number] =
             makeOccurrence(Job->Spec, Number, &*Progress);
     Job->Started = Progress.has_value();
+    if (this->Inner->Options.Policy.FairShares) {
+      this->Inner->SharesToRecount |= Inherited || AcceptedAt < Now;
+      this->Inner->countArrival(*Job, Now);
+    }
     if (!Inherited && !Job->Occurrences.empty() &&
         !hasLongRunningStep(Job->Spec))
       this->Inner->ArrivalRates[Job->Spec.Queue.Id].add(
@@ -396,7 +400,13 @@
   Scheduling.relocateLongRunning(Now);
   Scheduling.updatePossibleInheritedUse(Now);
   Scheduling.MaxFree.clear();
+  if (std::exchange(Scheduling.SharesToRecount, false))
+    Scheduling.recountShares();
   std::vector<WaitingStep> Waiting = Scheduling.waitingSteps(Now, UnixMs);
+  if (Scheduling.Options.Policy.FairShares) {
+    Scheduling.placeByFairShares(Waiting, Now);
+    return;
+  }
   std::ranges::stable_sort(Waiting, isPlacedBefore, &WaitingStep::Work);
   // First, because they need an upstream on which nothing has just begun.
   for (const WaitingStep &Step : Waiting)
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinerill/overload/sizebalance.h"
 #include "sardinerill/scheduling/commands.h"
 #include "sardinerill/scheduling/jobprogress.h"
 
@@ -31,6 +32,7 @@
   Resources Reserved; ///< On the upstream. Ceilings count StepSpec::Requested,
                       ///< which includes the CPU of best-effort tasks.
   OrganisationId Organisation;
+  PoolId Pool;              ///< Of the upstream when the run was added.
   bool LongRunning = false; ///< As StepSpec::LongRunning.
   Instant StartedAt{};
   Instant PhaseChangedAt{};
@@ -92,6 +94,8 @@
   bool Started = false;
   bool OverShare = false; ///< Exceeded the share of its organisation when it
                           ///< was accepted.
+  /// Among the jobs of its queue; none if the balance does not count the job.
+  std::optional<overload::SizeClass> Size;
   /// Length of the critical path by the caller's estimates.
   Duration EstimatedCriticalPath{};
   std::int64_t Revision = 0; ///< Incremented by each change to be stored.
--- a/packages/scheduling/src/schedulerplacement.cpp
+++ b/packages/scheduling/src/schedulerplacement.cpp
@@ -19,6 +19,9 @@
 /// before it counts as late: estimates are off by half, and the work done so
 /// far is wasted if the job is not finished.
 constexpr double LatenessTolerance = 0.4;
+/// A job that ends later than this many times its allowed time after its
+/// acceptance is of no value to its caller.
+constexpr int ValueLimit = 3;
 /// Safety margin: tickets are not used within this time before they expire.
 constexpr milliseconds TicketMargin{150};
 
@@ -51,13 +54,16 @@
       Job.Started ? Duration(std::int64_t(LatenessTolerance *
                                           double(AllowedTime.count())))
                   : Duration{};
-  return {.Priority = Queue.Priority,
-          .CanMeetObjective = Now + RemainingTime <= Objective + Tolerance,
-          .OverShare = Job.OverShare,
-          .RemainingCpuSeconds =
-              remainingCpuSeconds(Job.Spec, Occurrence, Factor),
-          .Objective = Objective,
-          .AcceptedAt = Job.AcceptedAt};
+  return {
+      .Priority = Queue.Priority,
+      .CanMeetObjective = Now + RemainingTime <= Objective + Tolerance,
+      .HasValue = Job.Spec.Schedule.Count > 0 || hasLongRunningStep(Job.Spec) ||
+                  Now + RemainingTime <=
+                      Job.AcceptedAt + ValueLimit * AllowedTime + Tolerance,
+      .OverShare = Job.OverShare,
+      .RemainingCpuSeconds = remainingCpuSeconds(Job.Spec, Occurrence, Factor),
+      .Objective = Objective,
+      .AcceptedAt = Job.AcceptedAt};
 }
 
 std::vector<WaitingStep> Scheduler::Impl::waitingSteps(Instant Now,
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -48,11 +48,14 @@
   Added->Phase = Phase;
   Added->Reserved = reservedResources(Step);
   Added->Organisation = Organisation;
+  Added->Pool = Upstream.Report.Pool;
   Added->LongRunning = Step.LongRunning;
   Added->StartedAt = Added->PhaseChangedAt = Added->ProgressAt = Now;
   Upstream.Used += Added->Reserved;
   Upstream.Runs[Id] = Added;
   this->InUse[Organisation] += Step.Requested;
+  if (!Step.LongRunning)
+    this->ShortTaskUse[Added->Pool][Organisation] += Added->Reserved;
   if (TaskRecord *Task = this->task(Id.Task)) {
     Task->Runs.push_back(Added);
     Task->LastRunNumber = std::max(Task->LastRunNumber, Id.Number);
@@ -67,8 +70,13 @@
 
 void Scheduler::Impl::removeRun(const RunPtr &Removed) {
   if (const auto Found = this->Upstreams.find(Removed->Upstream);
-      Found != this->Upstreams.end() && Found->second->Runs.erase(Removed->Id))
+      Found != this->Upstreams.end() &&
+      Found->second->Runs.erase(Removed->Id)) {
     Found->second->Used -= Removed->Reserved;
+    if (!Removed->LongRunning)
+      this->ShortTaskUse[Removed->Pool][Removed->Organisation] -=
+          Removed->Reserved;
+  }
   if (const auto Found = this->Upstreams.find(Removed->Upstream);
       Found != this->Upstreams.end() && Found->second->OnProbation == Removed)
     Found->second->OnProbation = nullptr;
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "sardinerill/overload/fairorder.h"
+#include "sardinerill/overload/sizebalance.h"
 #include "sardinerill/scheduling/scheduler.h"
 
 #include "crashsuspects.h"
@@ -35,6 +37,20 @@
   }
 };
 
+/// The work of one organisation in one pool, in a round by fair shares.
+struct FairLane {
+  PoolId Pool;
+  OrganisationId Organisation;
+  double Weight = 1.0;
+  double SumOfWeights = 0; ///< Of all organisations that use or want the pool.
+  Resources Capacity;      ///< Of the pool.
+};
+
+struct FairRound {
+  std::vector<FairLane> Lanes;
+  std::vector<overload::FairWork> Works; ///< Of each waiting step.
+};
+
 /// Ratio of measured to estimated run times of a queue.
 struct RunTimeFactor {
   double Factor = 1.0;
@@ -160,6 +176,28 @@
   /// \returns whether the step has valid tickets; requests them if not.
   bool ensureTickets(const WaitingStep &Waiting, Instant Now);
 
+  // Fair shares (schedulerfairshares.cpp)
+  /// Places the tasks of \p Waiting by fair shares.
+  void placeByFairShares(const std::vector<WaitingStep> &Waiting, Instant Now);
+  FairRound fairRoundOf(const std::vector<WaitingStep> &Waiting);
+  /// \returns the use of \p Lane in units of its fair part.
+  double useOf(const FairLane &Lane) const;
+  void placeAllSuspects(const std::vector<WaitingStep> &Waiting, Instant Now);
+  /// Counts \p Job in the balance of sizes of its queue.
+  void countArrival(JobRecord &Job, Instant Now);
+  /// Marks the work whose size class must be served before smaller jobs.
+  void preferUnderservedSizes(const std::vector<WaitingStep> &Waiting,
+                              std::vector<overload::FairWork> &Works,
+                              Instant Now) const;
+  /// Counts all jobs against the shares again, by time of acceptance. A new
+  /// holder loads the jobs of earlier holders in another order.
+  void recountShares();
+  double weightOf(const OrganisationId &Organisation) const;
+  /// \returns the largest part of any resource of \p Pool, whose upstreams
+  /// have \p Capacity, that short tasks of \p Organisation use.
+  double dominantUse(const PoolId &Pool, const OrganisationId &Organisation,
+                     const Resources &Capacity) const;
+
   // Runs of previous holders (schedulerinherited.cpp)
   void updateFullyAnsweredPools(Instant Now);
   bool hasUnansweredUpstream(const PoolId &Pool) const;
@@ -237,6 +275,11 @@
   std::map<ZoneId, Instant> ZoneAnsweredAt;
   /// Resources requested by all runs, for the ceilings.
   std::map<OrganisationId, Resources> InUse;
+  /// Resources reserved by the runs of short tasks, for the fair shares.
+  std::map<PoolId, std::map<OrganisationId, Resources>> ShortTaskUse;
+  std::map<QueueId, overload::SizeBalance> SizeBalances;
+  /// Jobs were added that the shares have not counted by time of acceptance.
+  bool SharesToRecount = false;
   /// Resources that inherited tasks may use on upstreams that have not
   /// answered.
   std::map<OrganisationId, Resources> PossibleInheritedUse;
--- a/packages/scheduling/src/waitingorder.h
+++ b/packages/scheduling/src/waitingorder.h
@@ -16,7 +16,9 @@
 struct WaitingWork {
   int Priority = 0;
   bool CanMeetObjective = true; ///< Within the tolerance for started jobs.
-  bool OverShare = false;       ///< Beyond the share of its organisation.
+  /// Can end while its result has some value. Not part of isPlacedBefore().
+  bool HasValue = true;
+  bool OverShare = false; ///< Beyond the share of its organisation.
   double RemainingCpuSeconds = 0;
   Instant Objective{};
   Instant AcceptedAt{};
