Load summary and decision on admission

Callers whose jobs can't be served in time learn it only when it is too late to send them elsewhere.

overload::refusalOf() refuses a job if the work that certainly precedes it takes longer than the job has value, with a margin of 1.5 for estimates. It refuses nothing while VMs are idle or on their way, or while the state of the pool is not known. Scheduler::loadSummary() supplies what it needs.

Tests: overload_tests 14 of 14, scheduling_tests 84 of 84 with ASan and UBSan.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinerill/overload/admission.h"
 #include "sardinerill/scheduling/commands.h"
 #include "sardinerill/scheduling/jobprogress.h"
 #include "sardinerill/scheduling/schedulingpolicy.h"
@@ -230,6 +231,8 @@
   /// \returns the demand of each pool that has jobs, or queues to which jobs
   /// have been submitted.
   std::map<PoolId, PoolDemand> demand(Instant Now) const;
+  /// \returns the load by which daemons decide on the admission of jobs.
+  overload::LoadSummary loadSummary(Instant Now) const;
   /// Stops the long-running tasks on \p Id whose availability budgets allow it
   /// and that fit on another upstream, to restart them there.
   /// \returns the number of long-running tasks found on \p Id, including those
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -145,6 +145,7 @@
   Job->OverShare = this->Inner->exceedsShare(*Job);
   if (Progress)
     Job->State = Progress->State;
+  this->Inner->HasLoadedProgress |= Progress.has_value();
   if (Job->ended()) {
     Job->EndedAt = Now;
   } else {
@@ -235,11 +236,18 @@
   auto &HostedCapacity = this->Inner->HostedCapacity;
   HostedCapacity.clear();
   this->Inner->VmsListed = true;
+  this->Inner->HasUnusedVms = false;
   std::set<UpstreamId> Present;
   for (const VmRecord &Vm : Vms) {
     Present.insert(Vm.Upstream);
     if (Vm.State == VmState::Up && !Vm.Upstream.empty())
       HostedCapacity[Vm.Pool][Vm.Upstream] = Vm.Capacity;
+    const auto Pool = this->Inner->Configuration.Pools.find(Vm.Pool);
+    const bool IsStandby =
+        Pool != this->Inner->Configuration.Pools.end() && Pool->second.Standby;
+    this->Inner->HasUnusedVms |=
+        Vm.State == VmState::Moving ||
+        (Vm.State == VmState::Up && (IsStandby || Vm.Upstream.empty()));
   }
   // A cordon lasts as long as a VM runs an upstream with this id, also if its
   // registry entry is gone.
@@ -392,8 +400,13 @@
 
 void Scheduler::schedule(Instant Now, std::int64_t UnixMs) {
   Impl &Scheduling = *this->Inner;
+  // Looked up once a round, since thousands of jobs may wait.
+  std::vector<JobRecord *> Live;
+  Live.reserve(Scheduling.LiveJobs.size());
   for (const JobId &Id : Scheduling.LiveJobs)
-    Scheduling.createDueOccurrences(*Scheduling.Jobs.at(Id), UnixMs);
+    Live.push_back(Scheduling.Jobs.at(Id).get());
+  for (JobRecord *Job : Live)
+    Scheduling.createDueOccurrences(*Job, UnixMs);
   Scheduling.replaceStuckRuns(Now);
   Scheduling.updateFullyAnsweredPools(Now);
   Scheduling.updateUnresponsiveZones();
@@ -402,7 +415,7 @@
   Scheduling.MaxFree.clear();
   if (std::exchange(Scheduling.SharesToRecount, false))
     Scheduling.recountShares();
-  std::vector<WaitingStep> Waiting = Scheduling.waitingSteps(Now, UnixMs);
+  std::vector<WaitingStep> Waiting = Scheduling.waitingSteps(Live, Now, UnixMs);
   if (Scheduling.Options.Policy.FairShares) {
     Scheduling.placeByFairShares(Waiting, Now);
     return;
--- a/packages/scheduling/src/schedulerfairshares.cpp
+++ b/packages/scheduling/src/schedulerfairshares.cpp
@@ -150,6 +150,9 @@
 
 void Scheduler::Impl::placeAllSuspects(const std::vector<WaitingStep> &Waiting,
                                        Instant Now) {
+  // Most holders never see a suspect.
+  if (this->Counts.Suspicions == 0 && !this->HasLoadedProgress)
+    return;
   std::vector<const WaitingStep *> Suspects;
   for (const WaitingStep &Step : Waiting)
     if (hasSuspect(Step))
@@ -175,6 +178,11 @@
   overload::FairOrder Order(Round.Works, std::move(Uses));
   while (const auto Index = Order.next()) {
     const WaitingStep &Step = Waiting[*Index];
+    // Saves most of the time that a round takes while the pools are full. Steps
+    // that need tickets request them before there is capacity.
+    if (!Step.Queue->NeedsAdvice &&
+        !this->mayFitInPool(Step.Queue->Pool, reservedResources(Step.spec())))
+      continue;
     const bool Counts = countsForBalance(Step);
     const std::size_t CommandsBefore = this->Commands.size();
     this->placeTasks(Step, Now);
--- a/packages/scheduling/src/schedulerplacement.cpp
+++ b/packages/scheduling/src/schedulerplacement.cpp
@@ -66,11 +66,15 @@
       .AcceptedAt = Job.AcceptedAt};
 }
 
-std::vector<WaitingStep> Scheduler::Impl::waitingSteps(Instant Now,
-                                                       std::int64_t UnixMs) {
+std::vector<WaitingStep>
+Scheduler::Impl::waitingSteps(const std::vector<JobRecord *> &Live, Instant Now,
+                              std::int64_t UnixMs) {
   std::vector<WaitingStep> Waiting;
-  for (const JobId &Id : this->LiveJobs) {
-    JobRecord &Job = *this->Jobs.at(Id);
+  Waiting.reserve(Live.size());
+  for (JobRecord *Each : Live) {
+    JobRecord &Job = *Each;
+    if (Job.ended())
+      continue; // It was given up in this round.
     const QueueSettings &Queue = this->queueSettingsOf(Job);
     if (this->isBlockedByInheritedRuns(Job, Queue.Pool))
       continue;
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -151,7 +151,9 @@
   void keepAcrossRestart(const RunPtr &Kept, Instant Now);
 
   // Placement (schedulerplacement.cpp)
-  std::vector<WaitingStep> waitingSteps(Instant Now, std::int64_t UnixMs);
+  /// \param Live the jobs that had not ended when the round began.
+  std::vector<WaitingStep> waitingSteps(const std::vector<JobRecord *> &Live,
+                                        Instant Now, std::int64_t UnixMs);
   bool hasWaitingTask(const StepRecord &Step, Instant Now) const;
   WaitingWork waitingWorkOf(const JobRecord &Job, const QueueSettings &Queue,
                             const OccurrenceRecord &Occurrence,
@@ -237,6 +239,9 @@
                       &ShortTasks,
                   std::map<PoolId, PoolDemand> &Demand) const;
 
+  // Summary of the load (schedulerload.cpp)
+  void addWorkAhead(overload::LoadSummary &Summary, Instant Now) const;
+
   // Supervision of running tasks (schedulersupervision.cpp)
   void updateUnresponsiveZones();
   void replaceStuckRuns(Instant Now);
@@ -263,6 +268,8 @@
   std::map<PoolId, std::vector<UpstreamRecord *>> ByPool;
   /// Capacity of the upstreams that run on the VMs of each pool.
   std::map<PoolId, std::map<UpstreamId, Resources>> HostedCapacity;
+  /// VMs are moving, on standby, or up without an upstream.
+  bool HasUnusedVms = false;
   bool VmsListed = false; ///< Whether HostedCapacity has been set.
   /// Whether InheritedRunsUntil has passed: no run of a previous holder is
   /// left.
@@ -302,6 +309,7 @@
   /// Incarnations that have ended. A registry entry of one may be read later.
   std::map<UpstreamId, RetiredIncarnation> Retired;
   CrashCounts Counts;
+  bool HasLoadedProgress = false; ///< It may contain suspects.
   /// Racks of the upstreams that crashed last, and when.
   std::vector<std::pair<std::string, Instant>> RecentCrashes;
   void rebuildPools();
