Jobs that can't be served in time are refused with 429

With the policy refuse-unservable, the holder returns a summary of its load in the answer to change notices, and each daemon decides by the newest one, at most 2 s old, before it stores a job. A job that is stored already is answered as accepted: the check is a transaction that can't apply, because reads may show an old state of the table. In doubt a job is accepted. The error is the existing kind QueueFull.

Not run against a whole site.

--- a/packages/site/src/callerhandler.cpp
+++ b/packages/site/src/callerhandler.cpp
@@ -3,6 +3,7 @@
 #include "unixtime.h"
 
 #include "sardinerill/base/logging.h"
+#include "sardinerill/scheduling/admissionrequest.h"
 
 #include <algorithm>
 
@@ -14,6 +15,9 @@
 constexpr milliseconds ReplyReserve{250};
 /// Timeout of a request to the holder.
 constexpr milliseconds HolderTimeout{400};
+/// Nothing is refused on an older summary: within this time a peak begins or
+/// ends.
+constexpr seconds MaxLoadAge{2};
 /// Retry delay sent to callers while the system starts or stops.
 constexpr milliseconds RetryAfter{1000};
 
@@ -37,8 +41,45 @@
   return Job.Progress ? JobState::Running : JobState::Queued;
 }
 
+/// Notifies the holder of \p Change and takes in the load that it answers with.
+Async<void> notifyAndUpdate(std::shared_ptr<HolderClient> Client,
+                            std::shared_ptr<HolderLoad> Load,
+                            const IClock &Clock, Metrics &Stats,
+                            std::string Change) {
+  const Instant SentAt = Clock.now();
+  const std::string Answer =
+      co_await Client->notifyChange(std::move(Change), HolderTimeout);
+  if (!Load->update(Answer, SentAt)) {
+    Stats.count("load_summaries_rejected_total");
+    logEvent(LogLevel::Warning, "load_summary.rejected",
+             {{"holder", Client->endpoint().str()}});
+  }
+}
+
 } // namespace
 
+bool HolderLoad::update(const std::string &Text, Instant SentAt) {
+  if (Text.empty())
+    return true;
+  auto Decoded = overload::decodeSummary(Text);
+  if (!Decoded || Decoded->Age < Duration{}) {
+    this->Summary.reset();
+    return false;
+  }
+  // The age is that at the time of the answer, so this is not too late.
+  const Instant Computed = SentAt - Decoded->Age;
+  if (this->Summary && Computed < this->ComputedAt)
+    return true; // Overtaken by the answer to a later notice.
+  this->Summary = std::make_shared<const overload::LoadSummary>(
+      std::move(Decoded->Summary));
+  this->ComputedAt = Computed;
+  return true;
+}
+
+std::shared_ptr<const overload::LoadSummary> HolderLoad::at(Instant Now) const {
+  return Now - this->ComputedAt < MaxLoadAge ? this->Summary : nullptr;
+}
+
 Result<CallerHandler::AdmittedCall>
 CallerHandler::admit(const CallerCall &Call) const {
   const SiteConfiguration *Configuration = this->Deps.Configuration();
@@ -107,6 +148,12 @@
   Spec->Queue = Admitted.Queue;
   Spec->Organisation = Admitted.Organisation;
   Spec->AcceptedAtMs = unixMillis();
+  if (auto Refused = this->refusalOf(*Spec);
+      Refused && co_await this->Deps.Jobs.isCertainlyAbsent(
+                     Admitted.Job, Admitted.Deadline)) {
+    this->Deps.Stats.count("admission_refused_total");
+    co_return tl::unexpected(std::move(*Refused));
+  }
   const Result<std::int64_t> Stored =
       co_await this->Deps.Jobs.accept(*Spec, Admitted.Deadline);
   if (!Stored)
@@ -125,14 +172,40 @@
   co_return CallerReply();
 }
 
+std::shared_ptr<const overload::LoadSummary> CallerHandler::knownLoad() {
+  if (!this->Deps.RefuseUnservable)
+    return nullptr;
+  if (auto Local = this->Deps.LocalLoad())
+    return Local;
+  return this->holderClient() ? this->RemoteLoad->at(this->Deps.Clock.now())
+                              : nullptr;
+}
+
+std::optional<Error> CallerHandler::refusalOf(const JobSpec &Spec) {
+  const auto Load = this->knownLoad();
+  const auto Request = Load ? admissionRequestOf(Spec) : std::nullopt;
+  const auto Refused =
+      Request ? overload::refusalOf(*Request, *Load) : std::nullopt;
+  if (!Refused)
+    return std::nullopt;
+  const auto WaitMs =
+      std::chrono::duration_cast<milliseconds>(Refused->PredictedWait).count();
+  return Error{ErrorKind::QueueFull,
+               "the job would wait for about " + std::to_string(WaitMs) +
+                   " ms, after which it can't end in time",
+               Refused->RetryAfter};
+}
+
 HolderClient *CallerHandler::holderClient() {
   const Endpoint HolderAddress = this->Deps.HolderEndpoint();
   if (!HolderAddress.isValid())
     return nullptr;
   if (!this->HolderConnection ||
-      this->HolderConnection->endpoint() != HolderAddress)
+      this->HolderConnection->endpoint() != HolderAddress) {
     this->HolderConnection =
         std::make_shared<HolderClient>(this->Deps.Executor, HolderAddress);
+    this->RemoteLoad = std::make_shared<HolderLoad>();
+  }
   return this->HolderConnection.get();
 }
 
@@ -140,8 +213,10 @@
   if (this->Deps.NotifyLocalHolder(Change) || !this->holderClient())
     return;
   spawn(this->Deps.Executor, "holder-notice",
-        [Client = this->HolderConnection, Text = encodeChange(Change)] {
-          return Client->notifyChange(Text, HolderTimeout);
+        [Client = this->HolderConnection, Load = this->RemoteLoad,
+         &Clock = this->Deps.Clock, &Stats = this->Deps.Stats,
+         Text = encodeChange(Change)] {
+          return notifyAndUpdate(Client, Load, Clock, Stats, Text);
         });
 }
 
--- a/packages/site/src/callerhandler.h
+++ b/packages/site/src/callerhandler.h
@@ -3,6 +3,7 @@
 #include "jobtable.h"
 #include "peerapi.h"
 
+#include "sardinerill/overload/admission.h"
 #include "sardinerill/site/callercalls.h"
 
 #include <set>
@@ -30,11 +31,28 @@
   /// Passes a change to the holder in this daemon. \returns whether there is
   /// one.
   std::function<bool(const JobChange &)> NotifyLocalHolder;
+  /// \returns the load summary of the holder in this daemon, if there is one.
+  std::function<std::shared_ptr<const overload::LoadSummary>()> LocalLoad;
+  bool RefuseUnservable = false; ///< SchedulingPolicy::RefuseUnservable.
   /// \returns the peer endpoint of the holder; not valid if it is unknown or is
   /// this daemon.
   std::function<Endpoint()> HolderEndpoint;
 };
 
+/// The newest load summary of a holder in another daemon.
+class HolderLoad {
+public:
+  /// Takes in the answer to a notice sent at \p SentAt.
+  /// \returns false if \p Text is not empty and can't be decoded.
+  bool update(const std::string &Text, Instant SentAt);
+  /// \returns the summary if it is recent at \p Now.
+  std::shared_ptr<const overload::LoadSummary> at(Instant Now) const;
+
+private:
+  std::shared_ptr<const overload::LoadSummary> Summary;
+  Instant ComputedAt{};
+};
+
 class CallerHandler {
 public:
   explicit CallerHandler(CallerHandlerDeps Deps) : Deps(std::move(Deps)) {}
@@ -53,6 +71,10 @@
   Async<Result<CallerReply>> stateOf(AdmittedCall Admitted);
   Async<Result<CallerReply>> cancel(AdmittedCall Admitted);
   Async<Result<CallerReply>> pending(AdmittedCall Admitted);
+  /// \returns the holder's load; none if none is known that is recent.
+  std::shared_ptr<const overload::LoadSummary> knownLoad();
+  /// \returns why \p Spec is refused if it has not been accepted before.
+  std::optional<Error> refusalOf(const JobSpec &Spec);
   HolderClient *holderClient();
   /// Notifies the holder of \p Change, so that it need not wait for the table's
   /// list of changes.
@@ -60,6 +82,8 @@
 
   CallerHandlerDeps Deps;
   std::shared_ptr<HolderClient> HolderConnection;
+  /// What the holder at HolderConnection has answered.
+  std::shared_ptr<HolderLoad> RemoteLoad;
 };
 
 } // namespace sardinerill::site
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -32,6 +32,9 @@
 constexpr int IdlePerDecision = 2;
 constexpr milliseconds MaxIdle{150};
 constexpr milliseconds AdviceTimeout{2500};
+/// The summary of the load is computed again after this time. It takes about as
+/// long as a run of the scheduler, and load changes within seconds.
+constexpr milliseconds LoadSummaryInterval{100};
 /// Nothing is started if the table answers and the jobs were last read longer
 /// ago than this: a cancellation must take effect within 3 s of its
 /// acknowledgement on the strictest sites.
@@ -149,6 +152,26 @@
   return this->JobScheduler.pendingJobs(Queue);
 }
 
+std::shared_ptr<const overload::LoadSummary> Holder::load() {
+  const Instant Now = this->Deps.Clock.now();
+  if (!this->Deps.Settings.Policy.RefuseUnservable || !this->Loaded ||
+      this->Context->Stopped || !this->Ownership.maySendCommands(Now))
+    return nullptr;
+  if (!this->Load || Now - this->LoadComputedAt >= LoadSummaryInterval) {
+    this->Load = std::make_shared<const overload::LoadSummary>(
+        this->JobScheduler.loadSummary(Now));
+    this->LoadComputedAt = Now;
+  }
+  return this->Load;
+}
+
+std::string Holder::encodedLoad() {
+  const auto Summary = this->load();
+  return Summary ? overload::encodeSummary(*Summary, this->Deps.Clock.now() -
+                                                         this->LoadComputedAt)
+                 : std::string();
+}
+
 void Holder::applyChange(const JobChange &Change, const JobProgress *Progress) {
   const Instant Now = this->Deps.Clock.now();
   if (Change.Cancelled) {
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -69,6 +69,11 @@
   bool ready() const { return this->Loaded; }
   std::optional<JobState> stateOf(const JobId &Job) const;
   int pendingJobs(const QueueId &Queue) const;
+  /// \returns the load by which jobs are admitted, at most LoadSummaryInterval
+  /// old; none if jobs are not refused or not all of them have been loaded.
+  std::shared_ptr<const overload::LoadSummary> load();
+  /// \returns the same, encoded with its age; empty if there is none.
+  std::string encodedLoad();
 
 private:
   Async<void> loadJobsAndStart();
@@ -106,6 +111,8 @@
   bool JobsAreStale = false;
   std::int64_t HeadVersion = 0; ///< Version of the progress head row.
   std::int64_t BatchNumber = 0;
+  std::shared_ptr<const overload::LoadSummary> Load;
+  Instant LoadComputedAt{};
 };
 
 } // namespace sardinerill::site
--- a/packages/site/src/jobtable.cpp
+++ b/packages/site/src/jobtable.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds MinCompletionWait{1};
 /// Retry delay sent to callers when the table can't be reached.
 constexpr milliseconds RetryAfter{1000};
+/// Longest time after which the table carries out a transaction that it has not
+/// answered. It may be seconds; the rest is margin.
+constexpr seconds MaxLateTransaction{30};
 /// Jobs whose rows in the jobs table, two for each, are deleted in one
 /// transaction; the table accepts up to 100 entries. Progress rows, one for
 /// each job, are deleted for twice as many jobs.
@@ -190,6 +193,12 @@
     if (this->Clock.now() >= Entry->Deadline)
       Entry->giveUp();
   }
+  const Instant Now = this->Clock.now();
+  std::erase_if(this->UncertainUntil,
+                [&](const auto &Known) { return Known.second <= Now; });
+  if (!Entry->Outcome &&
+      Entry->Outcome.error().Kind == ErrorKind::PlatformOutcomeUnknown)
+    this->UncertainUntil[Entry->Spec.Id] = Now + MaxLateTransaction;
   co_return Entry->Outcome;
 }
 
@@ -264,6 +273,29 @@
   }
 }
 
+Async<bool> JobTable::isCertainlyAbsent(JobId Job, Instant Deadline) {
+  const auto Uncertain = this->UncertainUntil.find(Job);
+  const bool UnderWay = std::ranges::any_of(
+      this->queueOf(Job)->Submissions,
+      [&](const auto &Entry) { return Entry->Spec.Id == Job; });
+  if (UnderWay || (Uncertain != this->UncertainUntil.end() &&
+                   this->Clock.now() < Uncertain->second))
+    co_return false;
+  // Reads may show an old state, transactions don't. The second precondition
+  // never holds, since a cancellation is only stored after its job: the
+  // transaction is never applied, and its conflicts contain the job's row if
+  // there is one.
+  Transaction Check;
+  Check.Preconditions.push_back({jobKey(Job), 0});
+  Check.Preconditions.push_back({cancelKey(Job), 1});
+  const auto Outcome = co_await this->Store.transact(
+      std::move(Check), this->callTimeout(Deadline));
+  co_return Outcome && !Outcome->Applied &&
+      std::ranges::none_of(Outcome->Conflicts, [](const Row &Existing) {
+        return Existing.Version != 0;
+      });
+}
+
 Async<Result<StoredJob>> JobTable::find(JobId Job, Instant Deadline) {
   const RowKey Key = jobKey(Job);
   // '~' sorts after the suffix of the cancellation's key. The range contains no
--- a/packages/site/src/jobtable.h
+++ b/packages/site/src/jobtable.h
@@ -56,6 +56,10 @@
   /// run guarantees that the job is not stored.
   /// \returns the version of the new row, or 0 if the job was already stored.
   Async<Result<std::int64_t>> accept(JobSpec Spec, Instant Deadline);
+  /// \returns whether \p Job is certainly not stored, and no submission of it
+  /// is under way in this daemon. Unlike find(), it is not answered from an old
+  /// state of the table. False also if the table gives no answer.
+  Async<bool> isCertainlyAbsent(JobId Job, Instant Deadline);
   /// \returns the job, or JobNotFound.
   Async<Result<StoredJob>> find(JobId Job, Instant Deadline);
   Async<Result<void>> cancel(StoredJob Job, Instant Deadline);
@@ -94,6 +98,9 @@
   const IClock &Clock;
   Metrics &Stats;
   std::vector<std::shared_ptr<PartitionQueue>> PartitionQueues;
+  /// Jobs whose last submission had an unknown outcome, and until when the
+  /// table may still carry it out.
+  std::map<JobId, Instant> UncertainUntil;
 };
 
 } // namespace sardinerill::site
--- a/packages/site/src/peerapi.cpp
+++ b/packages/site/src/peerapi.cpp
@@ -99,10 +99,13 @@
   co_return *Count;
 }
 
-Async<void> HolderClient::notifyChange(std::string Change, Duration Timeout) {
+Async<std::string> HolderClient::notifyChange(std::string Change,
+                                              Duration Timeout) {
   HttpRequest Notice = makeRequest("POST", std::string(ChangePath));
   Notice.Body = std::move(Change);
-  co_await this->Http.call(std::move(Notice), Timeout);
+  auto Answer = co_await this->Http.call(std::move(Notice), Timeout);
+  co_return Answer && Answer->Status == 200 ? std::move(Answer->Body)
+                                            : std::string();
 }
 
 Async<HttpResponse> handlePeerRequest(const PeerApiDeps &Deps,
@@ -122,7 +125,7 @@
     if (!Change)
       co_return HttpResponse{.Status = 400};
     Deps.OnChangeNotice(*Change);
-    co_return HttpResponse{.Status = 200};
+    co_return HttpResponse{.Status = 200, .Body = Deps.EncodedLoad()};
   }
   if (Target.starts_with(RelayPath))
     co_return co_await Deps.Store.relay(std::move(Request));
--- a/packages/site/src/peerapi.h
+++ b/packages/site/src/peerapi.h
@@ -35,7 +35,9 @@
   Async<Result<int>> pendingJobs(QueueId Queue, Duration Timeout);
   /// Notifies the holder of a change. A lost notification does no harm, since
   /// the holder reads the change from the table later.
-  Async<void> notifyChange(std::string Change, Duration Timeout);
+  /// \returns the body of the answer, an encoded summary of the holder's load;
+  /// empty if there is none.
+  Async<std::string> notifyChange(std::string Change, Duration Timeout);
   const Endpoint &endpoint() const { return this->Http.peer(); }
 
 private:
@@ -50,6 +52,9 @@
   std::function<std::optional<JobState>(const JobId &)> StateOf;
   std::function<int(const QueueId &)> PendingJobs;
   std::function<void(const JobChange &)> OnChangeNotice;
+  /// \returns the encoded summary of the load, if this daemon is the holder and
+  /// has one; otherwise an empty text.
+  std::function<std::string()> EncodedLoad;
   std::function<void()> OnOwnershipAvailable;
   /// \returns the version of the configuration in use; 0 if there is none.
   std::function<std::int64_t()> ConfigurationVersion;
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -159,6 +159,10 @@
             this->LocalHolder->applyNotifiedChange(Change);
             return true;
           },
+      .LocalLoad = [this]() -> std::shared_ptr<const overload::LoadSummary> {
+        return this->LocalHolder ? this->LocalHolder->load() : nullptr;
+      },
+      .RefuseUnservable = this->Settings.Policy.RefuseUnservable,
       .HolderEndpoint =
           [this] {
             const OwnershipRow &Row = this->Ownership.row();
@@ -183,6 +187,11 @@
             if (this->LocalHolder)
               this->LocalHolder->applyNotifiedChange(Change);
           },
+      .EncodedLoad =
+          [this] {
+            return this->LocalHolder ? this->LocalHolder->encodedLoad()
+                                     : std::string();
+          },
       .OnOwnershipAvailable = [this] { this->Ownership.checkNow(); },
       .ConfigurationVersion = [this]() -> std::int64_t {
         const SiteConfiguration *InUse = this->usableConfiguration();
--- /dev/null
+++ b/packages/site/tests/callerhandler_test.cpp
@@ -0,0 +1,162 @@
+#include "callerhandler.h"
+#include "fakestore.h"
+
+#include <doctest/doctest.h>
+
+using namespace sardinerill;
+using namespace sardinerill::site;
+using namespace sardinerill::site::testing;
+
+namespace {
+
+constexpr std::string_view Recurring = "recurring";
+
+Result<JobSpec> decodeBody(const std::string &Body) {
+  JobSpec Spec{
+      .Payload = Body,
+      .Steps = {
+          {.Count = 8, .Requested = {1000, 1, 0}, .Estimate = seconds(1)}}};
+  if (Body == Recurring)
+    Spec.Schedule = {.Count = 2, .FirstDueMs = 0, .IntervalMs = 1000};
+  return Spec;
+}
+
+/// A pool whose higher priorities have work for \p WaitSeconds.
+std::shared_ptr<const overload::LoadSummary> loadOf(double WaitSeconds) {
+  overload::LoadSummary Summary;
+  overload::PoolLoad &Pool = Summary.Pools["pool"];
+  Pool.Cores = 10;
+  Pool.Ahead[-1].Started = 10 * WaitSeconds;
+  return std::make_shared<const overload::LoadSummary>(Summary);
+}
+
+/// An entry daemon that is the holder, or knows none.
+struct CallerFixture {
+  boost::asio::io_context Context;
+  FakeStore Store;
+  ManualClock Clock;
+  Metrics Stats;
+  JobTable Jobs{Context.get_executor(), Store, Clock, Stats};
+  SiteConfiguration Configuration{.Version = 1,
+                                  .Queues = {{.Id = QueueId("queue"),
+                                              .Host = "host",
+                                              .PathPrefix = "/q/",
+                                              .Pool = PoolId("pool"),
+                                              .CallTimeout = seconds(5),
+                                              .Public = true}}};
+  std::shared_ptr<const overload::LoadSummary> Load = loadOf(1000);
+  CallerHandler Handler;
+
+  explicit CallerFixture(bool RefuseUnservable = true)
+      : Handler(
+            {.Executor = Context.get_executor(),
+             .Clock = Clock,
+             .Jobs = Jobs,
+             .Stats = Stats,
+             .DecodeJob = decodeBody,
+             .Configuration = [this] { return &this->Configuration; },
+             .LatestReply = [] { return Instant::max(); },
+             .LocalState = [](const JobId &) { return std::nullopt; },
+             .LocalPendingJobs = [](const QueueId &) { return std::nullopt; },
+             .NotifyLocalHolder = [](const JobChange &) { return true; },
+             .LocalLoad = [this] { return this->Load; },
+             .RefuseUnservable = RefuseUnservable,
+             .HolderEndpoint = [] { return Endpoint(); }}) {}
+
+  Result<CallerReply> submit(const std::string &Id,
+                             const std::string &Body = "body") {
+    return runToEnd<Result<CallerReply>>(this->Context, [&, Id, Body] {
+      return this->Handler.handle({.Kind = CallKind::Submit,
+                                   .Host = "host",
+                                   .Path = "/q/" + Id,
+                                   .Body = Body});
+    });
+  }
+};
+
+} // namespace
+
+TEST_CASE("a job that can't be served is refused and not stored") {
+  // Guards against refused jobs that run all the same, and against callers that
+  // get no advice when to return.
+  CallerFixture Fixture;
+  const auto Refused = Fixture.submit("0123456789abcdef");
+  REQUIRE_FALSE(Refused);
+  const ErrorResponse &Response = errorResponseFor(Refused.error().Kind);
+  CHECK(Response.HttpStatus == 429);
+  CHECK((Response.Execution == ExecutionState::DidNotRun));
+  REQUIRE(Refused.error().RetryAfter);
+  CHECK(*Refused.error().RetryAfter >= seconds(1));
+  CHECK(Fixture.Store.Rows.empty());
+}
+
+TEST_CASE("a job that was accepted before is answered as accepted") {
+  // Guards against a repeated submission that is told that the job never runs,
+  // also if reads of the table show an old state.
+  CallerFixture Fixture;
+  Fixture.Store.keepOldState();
+  Fixture.Load = nullptr;
+  REQUIRE(Fixture.submit("0123456789abcdef"));
+  Fixture.Load = loadOf(1000);
+  Fixture.Store.OldRead = 1;
+  CHECK(Fixture.submit("0123456789abcdef"));
+  CHECK_FALSE(Fixture.submit("fedcba9876543210"));
+}
+
+TEST_CASE("a job that may still be stored is not refused") {
+  // Guards against a submission that the table carries out after a repetition
+  // of it was refused.
+  CallerFixture Fixture;
+  Fixture.Load = nullptr;
+  Fixture.Clock.advance(seconds(1));
+  Fixture.Configuration.Queues[0].CallTimeout = milliseconds(250);
+  Fixture.Store.Faults = {CallFault::Late};
+  const auto Unknown = Fixture.submit("0123456789abcdef");
+  REQUIRE_FALSE(Unknown);
+  REQUIRE(Unknown.error().Kind == ErrorKind::PlatformOutcomeUnknown);
+  Fixture.Load = loadOf(1000);
+  Fixture.Configuration.Queues[0].CallTimeout = seconds(5);
+  CHECK(Fixture.submit("0123456789abcdef"));
+}
+
+TEST_CASE("in doubt a job is accepted") {
+  // Guards against refusals without a summary, by an unanswered check, of
+  // recurring jobs, and with the feature off.
+  CallerFixture Fixture;
+  CHECK(Fixture.submit("0000000000000001", std::string(Recurring)));
+  Fixture.Store.Faults = {CallFault::Lost};
+  CHECK(Fixture.submit("0000000000000002"));
+  Fixture.Load = loadOf(0.1);
+  CHECK(Fixture.submit("0000000000000003"));
+  Fixture.Load = nullptr;
+  CHECK(Fixture.submit("0000000000000004"));
+  CallerFixture Off(false);
+  CHECK(Off.submit("0000000000000005"));
+}
+
+TEST_CASE("an old, unreadable or overtaken summary is not used") {
+  // Guards against refusals by a load that has passed.
+  const auto At = [](std::int64_t Millis) {
+    return Instant(milliseconds(Millis));
+  };
+  const auto Text = [](int Cores, std::int64_t AgeMs) {
+    overload::LoadSummary Summary;
+    Summary.Pools["pool"].Cores = Cores;
+    return overload::encodeSummary(Summary, milliseconds(AgeMs));
+  };
+  HolderLoad Load;
+  CHECK_FALSE(Load.at(At(0)));
+  CHECK(Load.update(Text(1, 500), At(5000)));
+  REQUIRE(Load.at(At(6499)));
+  CHECK_FALSE(Load.at(At(6500)));
+  // Computed at 4,400 ms: the answer to an earlier notice came later.
+  CHECK(Load.update(Text(2, 500), At(4900)));
+  CHECK(Load.at(At(6000))->Pools.at("pool").Cores == 1);
+  CHECK(Load.update(Text(3, 0), At(6000)));
+  CHECK(Load.at(At(6000))->Pools.at("pool").Cores == 3);
+  // A holder that has no summary yet does not withdraw a recent one.
+  CHECK(Load.update("", At(6100)));
+  CHECK(Load.at(At(6100)));
+  CHECK_FALSE(Load.update("{}", At(6200)));
+  CHECK_FALSE(Load.at(At(6200)));
+}
