--- a/packages/scheduling/src/schedulerplacement.cpp
+++ b/packages/scheduling/src/schedulerplacement.cpp
@@ -22,6 +22,9 @@
 /// The last tasks of a step are those of which no more than this part of the
 /// step is left to be started, and at least one.
 constexpr std::size_t LastTasksDivisor = 4;
+/// A job that ends later than this many times its allowed time after its
+/// acceptance is of no value to its caller.
+constexpr int ValueLimit = 3;
 /// Safety margin: tickets are not used within this time before they expire.
 constexpr milliseconds TicketMargin{150};
 
@@ -73,20 +76,27 @@
       Job.Started ? Duration(std::int64_t(LatenessTolerance *
                                           double(AllowedTime.count())))
                   : Duration{};
-  return {.Priority = Queue.Priority,
-          .CanMeetObjective =
-              Now + Remaining.CriticalPath <= Objective + Tolerance,
-          .OverShare = Job.OverShare,
-          .RemainingCpuSeconds = Remaining.CpuSeconds,
-          .Objective = Objective,
-          .AcceptedAt = Job.AcceptedAt};
+  return {
+      .Priority = Queue.Priority,
+      .CanMeetObjective = Now + Remaining.CriticalPath <= Objective + Tolerance,
+      .HasValue = Job.Spec.Schedule.Count > 0 || hasLongRunningStep(Job.Spec) ||
+                  Now + Remaining.CriticalPath <=
+                      Job.AcceptedAt + ValueLimit * AllowedTime + Tolerance,
+      .OverShare = Job.OverShare,
+      .RemainingCpuSeconds = Remaining.CpuSeconds,
+      .Objective = Objective,
+      .AcceptedAt = Job.AcceptedAt};
 }
 
-std::vector<WaitingStep> Scheduler::Impl::waitingSteps(Instant Now,
-                                                       std::int64_t UnixMs) {
+std::vector<WaitingStep>
+Scheduler::Impl::waitingSteps(const std::vector<JobRecord *> &Live, Instant Now,
+                              std::int64_t UnixMs) {
   std::vector<WaitingStep> Waiting;
-  for (const JobId &Id : this->LiveJobs) {
-    JobRecord &Job = *this->Jobs.at(Id);
+  Waiting.reserve(Live.size());
+  for (JobRecord *Each : Live) {
+    JobRecord &Job = *Each;
+    if (Job.ended())
+      continue; // It was given up in this round.
     const QueueSettings &Queue = this->queueSettingsOf(Job);
     if (this->isBlockedByInheritedRuns(Job, Queue.Pool))
       continue;
