Stand-alone mode uses the same model of run times

Cause: packages/queueing had a second implementation, RunTimeEstimator with mean and deviation, which says little about run times with a long tail.

Change: RunTimeEstimator is an adapter of RunTimeModel, with the 90th percentile instead of the mean plus two deviations, and no estimate before five runs of a class. Quantiles and means are limited to the range of the values seen, so that equal values are forecast exactly and not to a bin. A new holder that has learned nothing since its load does not store the summary again.

--- a/packages/queueing/include/sardinerill/queueing/runtimeestimator.h
+++ b/packages/queueing/include/sardinerill/queueing/runtimeestimator.h
@@ -2,8 +2,8 @@
 
 #include "sardinerill/base/clock.h"
 #include "sardinerill/base/ids.h"
+#include "sardinerill/runtimes/runtimemodel.h"
 
-#include <map>
 #include <optional>
 
 /// \file
@@ -12,35 +12,22 @@
 
 namespace sardinerill {
 
-/// Smoothed mean and deviation of run times, computed with the gains that
-/// RFC 6298 uses for round-trip times.
+/// Forecasts of RunTimeModel for the classes and teams of stand-alone mode,
+/// where callers state no estimates.
 class RunTimeEstimator {
 public:
   /// Records a run of \p Class for \p Team that lasted \p Elapsed.
   void record(const ClassId &Class, const TeamId &Team, Duration Elapsed);
 
-  /// \returns the mean plus two deviations, or nothing if no run was recorded.
-  /// With too few runs of the team, uses those of all teams in the
-  /// class.
+  /// \returns the 90th percentile, or nothing if too few runs were recorded.
+  /// With too few runs of the team, uses those of all teams in the class.
   std::optional<Duration> estimate(const ClassId &Class,
                                    const TeamId &Team) const;
 
 private:
-  struct Statistics {
-    double MeanUs = 0;
-    double DeviationUs = 0;
-    unsigned Count = 0;
-  };
-  struct Key {
-    ClassId Class;
-    TeamId Team;
-    friend auto operator<=>(const Key &, const Key &) = default;
-  };
-
-  static void update(Statistics &Stats, Duration Elapsed);
-
-  std::map<Key, Statistics> ByTeam;
-  std::map<ClassId, Statistics> ByClass;
+  /// 280 teams that each use up to 10 classes; about 1 KB each.
+  static constexpr std::size_t MaxKeys = 4096;
+  RunTimeModel RunTimes{MaxKeys};
 };
 
 /// \returns the latest start that still meets \p Target, but no earlier than a
--- a/packages/queueing/src/runtimeestimator.cpp
+++ b/packages/queueing/src/runtimeestimator.cpp
@@ -1,53 +1,31 @@
 #include "sardinerill/queueing/runtimeestimator.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace sardinerill {
 
 namespace {
 
-// Alpha and beta of RFC 6298. The RFC adds four deviations to the mean.
-constexpr double MeanGain = 1.0 / 8;
-constexpr double DeviationGain = 1.0 / 4;
-constexpr double DeviationsAboveMean = 2.0;
-/// With fewer runs of a team, the estimate uses the runs of all teams.
-constexpr unsigned MinTeamRuns = 5;
 constexpr int MinWaitDivisor = 5;
 
-} // namespace
-
-void RunTimeEstimator::update(Statistics &Stats, Duration Elapsed) {
-  const auto Us = static_cast<double>(Elapsed.count());
-  if (Stats.Count++ == 0) {
-    Stats.MeanUs = Us;
-    Stats.DeviationUs = Us / 2;
-    return;
-  }
-  const double ErrorUs = Us - Stats.MeanUs;
-  Stats.DeviationUs += DeviationGain * (std::abs(ErrorUs) - Stats.DeviationUs);
-  Stats.MeanUs += MeanGain * ErrorUs;
+RunTimeKey keyOf(const ClassId &Class, const TeamId &Team) {
+  return RunTimeKey::of({.Queue = Class.str(), .Organisation = Team.str()});
 }
 
+} // namespace
+
 void RunTimeEstimator::record(const ClassId &Class, const TeamId &Team,
                               Duration Elapsed) {
-  update(this->ByTeam[Key{Class, Team}], Elapsed);
-  update(this->ByClass[Class], Elapsed);
+  this->RunTimes.learn(keyOf(Class, Team), {}, Elapsed);
 }
 
 std::optional<Duration> RunTimeEstimator::estimate(const ClassId &Class,
                                                    const TeamId &Team) const {
-  const Statistics *Stats = nullptr;
-  if (auto TeamEntry = this->ByTeam.find(Key{Class, Team});
-      TeamEntry != this->ByTeam.end() && TeamEntry->second.Count >= MinTeamRuns)
-    Stats = &TeamEntry->second;
-  else if (auto ClassEntry = this->ByClass.find(Class);
-           ClassEntry != this->ByClass.end())
-    Stats = &ClassEntry->second;
-  if (Stats == nullptr)
+  const RunTimeForecast Forecast =
+      this->RunTimes.forecast(keyOf(Class, Team), {});
+  if (Forecast.Source == RunTimeSource::Estimate)
     return std::nullopt;
-  const double Us = Stats->MeanUs + DeviationsAboveMean * Stats->DeviationUs;
-  return Duration(static_cast<Duration::rep>(Us));
+  return Forecast.Percentile90;
 }
 
 Instant latestStart(Instant ArrivedAt, Duration Target,
--- a/packages/runtimes/include/sardinerill/runtimes/runtimemodel.h
+++ b/packages/runtimes/include/sardinerill/runtimes/runtimemodel.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <list>
 #include <map>
 #include <optional>
@@ -114,6 +115,10 @@
   const Edges *BinEdges;
   std::array<float, BinCount> Weights{};
   double Total = 0;
+  /// Range of the values added, which bounds the error of equal values to less
+  /// than a bin.
+  double Smallest = std::numeric_limits<double>::max();
+  double Largest = 0;
   /// Computed at the first use after a change.
   mutable Statistics Cached;
 };
--- a/packages/runtimes/src/runtimemodel.cpp
+++ b/packages/runtimes/src/runtimemodel.cpp
@@ -104,8 +104,8 @@
 } // namespace
 
 RunTimeKey RunTimeKey::of(const RunTimeClass &Class) {
-  const std::int64_t SizeClass =
-      std::bit_width(std::uint64_t(std::max<std::int64_t>(0, Class.CpuMilli)));
+  const auto SizeClass = std::int64_t(
+      std::bit_width(std::uint64_t(std::max<std::int64_t>(0, Class.CpuMilli))));
   const auto Base = [&](std::string_view Level) {
     StableHash Hash;
     Hash.add(Level).add(std::int64_t(Class.Resumed)).add(Class.Queue);
@@ -132,6 +132,8 @@
       Above - this->BinEdges->begin() - 1, 0, std::ptrdiff_t(BinCount) - 1);
   this->Weights[std::size_t(Bin)] += 1;
   this->Total = NewTotal;
+  this->Smallest = std::min(this->Smallest, Value);
+  this->Largest = std::max(this->Largest, Value);
   this->Cached.Valid = false;
 }
 
@@ -146,7 +148,10 @@
 }
 
 double DecayingHistogram::quantileInBins(double Fraction) const {
-  return this->quantileAbove(0, Fraction);
+  if (this->Total <= 0)
+    return 0;
+  return std::clamp(this->quantileAbove(0, Fraction), this->Smallest,
+                    this->Largest);
 }
 
 double DecayingHistogram::quantileAbove(double Value, double Fraction) const {
@@ -210,12 +215,13 @@
     SumLogSquares += Weight * Log * Log;
   }
   const double MeanLog = SumLog / this->Total;
-  this->Cached = {.Valid = true,
-                  .Mean = Sum / this->Total,
-                  .Median = this->quantileInBins(0.5),
-                  .Percentile90 = this->quantileInBins(0.9),
-                  .LogSpread = std::sqrt(std::max(
-                      0.0, SumLogSquares / this->Total - MeanLog * MeanLog))};
+  this->Cached = {
+      .Valid = true,
+      .Mean = std::clamp(Sum / this->Total, this->Smallest, this->Largest),
+      .Median = this->quantileInBins(0.5),
+      .Percentile90 = this->quantileInBins(0.9),
+      .LogSpread = std::sqrt(
+          std::max(0.0, SumLogSquares / this->Total - MeanLog * MeanLog))};
   return this->Cached;
 }
 
@@ -261,6 +267,9 @@
   const double Scale = Sum > MaxTotal ? MaxTotal / Sum : 1.0;
   this->Weights = {};
   this->Total = 0;
+  // The exact values are not part of a summary.
+  this->Smallest = this->BinEdges->front();
+  this->Largest = this->BinEdges->back();
   for (const auto &[Bin, Weight] : Bins) {
     const auto Scaled = float(Scale * double(Weight) / SummaryUnit);
     this->Weights[std::size_t(Bin)] = Scaled;
@@ -445,6 +454,7 @@
 void RunTimeModel::merge(const RunTimeSummary &Other) {
   const RunTimeSummary Merged = mergeSummaries(this->summary(), Other);
   std::vector<std::pair<std::uint64_t, std::uint64_t>> OldestFirst;
+  OldestFirst.reserve(Merged.Entries.size());
   for (const auto &[Key, Stored] : Merged.Entries)
     OldestFirst.emplace_back(Stored.LearnedAt, Key);
   std::ranges::sort(OldestFirst);
--- a/packages/runtimes/src/runtimesummary.cpp
+++ b/packages/runtimes/src/runtimesummary.cpp
@@ -88,6 +88,7 @@
 std::string encodeSummary(const RunTimeSummary &Summary, std::size_t MaxBytes) {
   std::vector<const std::pair<const std::uint64_t, RunTimeSummary::Entry> *>
       Newest;
+  Newest.reserve(Summary.Entries.size());
   for (const auto &Each : Summary.Entries)
     Newest.push_back(&Each);
   std::ranges::sort(Newest, [](const auto *Left, const auto *Right) {
--- a/packages/site/src/holderruntimes.cpp
+++ b/packages/site/src/holderruntimes.cpp
@@ -56,7 +56,11 @@
     if (this->Context->Stopped)
       co_return;
     if (Earlier) {
+      const RunTimeModel &RunTimes = this->JobScheduler.runTimes();
+      const bool NothingLearned = RunTimes.size() == 0;
       this->JobScheduler.mergeRunTimes(*Earlier);
+      if (NothingLearned)
+        this->RunTimesStored.markStored(RunTimes.revision());
       break;
     }
     co_await sleepFor(RetryPause);
--- a/packages/site/src/runtimestorage.h
+++ b/packages/site/src/runtimestorage.h
@@ -29,6 +29,9 @@
   /// learned. A failed write is repeated after the same time.
   Async<void> storeIfDue(const RunTimeModel &Learned, Instant Now);
 
+  /// States that \p Revision of the model is what the table holds.
+  void markStored(std::uint64_t Revision) { this->StoredRevision = Revision; }
+
   /// Each write has up to 32 KiB. A new holder learns again within seconds what
   /// was not stored.
   static constexpr seconds WriteInterval{10};
--- a/packages/site/tests/runtimestorage_test.cpp
+++ b/packages/site/tests/runtimestorage_test.cpp
@@ -74,6 +74,11 @@
   CHECK(Site.Store.Transactions == 2);
   Site.store(at(30));
   CHECK(Site.Store.Transactions == 2);
+  // A new holder that has learned nothing since its load.
+  Site.claim();
+  Site.Storage->markStored(Site.Model.revision());
+  Site.store(at(40));
+  CHECK(Site.Store.Transactions == 2);
 }
 
 TEST_CASE("a failed write is repeated with the next one") {
