Operators see the state of an evacuation

Cause: operators could not tell when a zone was empty, nor whether their request had been noticed.

Change: the holder writes status/evacuate/ZONE: running first, completed once no task runs there, and removes the row after the withdrawal. A new holder lists the rows, so that those of earlier holders are corrected; so does a holder after a write with an unknown outcome. A zone is not completed while one of its upstreams has not answered and may run inherited tasks.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -62,6 +62,16 @@
   Resources Used;
 };
 
+/// Work in one zone.
+struct ZoneLoad {
+  int Upstreams = 0;
+  int Runs = 0;             ///< Includes those of jobs that are not known here.
+  int LongRunningTasks = 0; ///< Included in Runs.
+  /// Whether upstreams that have not answered this holder may run inherited
+  /// tasks.
+  bool MayHaveMore = false;
+};
+
 /// A long-running task on an upstream that is not being stopped, and the
 /// conditions of its evacuation.
 struct BlockingTask {
@@ -213,6 +223,9 @@
   /// allow. Replaces the previous set.
   void setEvacuatedZones(const std::set<ZoneId> &Zones);
 
+  /// \returns what still runs in each evacuated zone.
+  std::map<ZoneId, ZoneLoad> evacuatedZoneLoads() const;
+
   /// Runs one scheduling round: places waiting tasks, replaces stuck runs and
   /// relocates long-running tasks ahead of maintenance.
   /// \param UnixMs the wall-clock time, for recurring jobs.
--- a/packages/scheduling/src/schedulersupervision.cpp
+++ b/packages/scheduling/src/schedulersupervision.cpp
@@ -217,6 +217,25 @@
     Upstream->ZoneEvacuated = Zones.contains(Upstream->Report.Zone);
 }
 
+std::map<ZoneId, ZoneLoad> Scheduler::evacuatedZoneLoads() const {
+  std::map<ZoneId, ZoneLoad> Loads;
+  for (const ZoneId &Zone : this->Inner->EvacuatedZones)
+    Loads[Zone];
+  for (const auto &[Id, Upstream] : this->Inner->Upstreams) {
+    const auto Found = Loads.find(Upstream->Report.Zone);
+    if (Found == Loads.end())
+      continue;
+    ZoneLoad &Load = Found->second;
+    ++Load.Upstreams;
+    Load.Runs += int(Upstream->Runs.size() + Upstream->UnknownRuns.size());
+    for (const auto &[Run, Each] : Upstream->Runs)
+      Load.LongRunningTasks += Each->LongRunning;
+    Load.MayHaveMore |=
+        !Upstream->Answered && !this->Inner->InheritedRunsExpired;
+  }
+  return Loads;
+}
+
 bool Scheduler::needsEarlyPoll(const UpstreamId &Id, Instant Now) const {
   const auto Found = this->Inner->Upstreams.find(Id);
   if (Found == this->Inner->Upstreams.end() ||
--- a/packages/scheduling/tests/evacuation_test.cpp
+++ b/packages/scheduling/tests/evacuation_test.cpp
@@ -84,3 +84,52 @@
   REQUIRE(Starts.size() == 1);
   CHECK(Starts[0].Upstream == UpstreamId("b"));
 }
+
+TEST_CASE("long-running tasks leave an evacuated zone one at a time") {
+  TestSite Site;
+  Site.TaskDurationMs = 1000000;
+  addIn(Site, "a1", Zone1);
+  addIn(Site, "a2", Zone1);
+  Site.submit(jobOf("j1", {serviceStep(2)}));
+  REQUIRE(Site.schedule().size() == 2);
+  addIn(Site, "b1", Zone2);
+  addIn(Site, "b2", Zone2);
+  const auto MakeReady = [&] {
+    for (auto &[Id, Each] : Site.Upstreams)
+      for (auto &[Run, State] : Each.Running)
+        State.second = 100;
+  };
+  const auto InZone = [&] {
+    return Site.Upstreams.at("a1").Running.size() +
+           Site.Upstreams.at("a2").Running.size();
+  };
+  MakeReady();
+  Site.advance(10);
+  Site.advance(800);
+  Site.JobScheduler.setEvacuatedZones({Zone1});
+  Site.schedule();
+  CHECK(InZone() == 1); // The budget of one lets one task move at a time.
+  CHECK(Site.JobScheduler.evacuatedZoneLoads().at(Zone1).LongRunningTasks >= 1);
+  for (int Round = 0; Round < 20; ++Round) {
+    Site.advance(100);
+    Site.schedule();
+    MakeReady();
+  }
+  CHECK(InZone() == 0);
+  const ZoneLoad Load = Site.JobScheduler.evacuatedZoneLoads().at(Zone1);
+  CHECK(Load.Upstreams == 2);
+  CHECK(Load.Runs == 0);
+  CHECK_FALSE(Load.MayHaveMore);
+}
+
+TEST_CASE("a zone is not shown as empty before its upstreams have answered") {
+  // They may run tasks of an earlier holder.
+  TestSite Site({.Term = 1, .InheritedRunsUntil = at(60000)});
+  Site.JobScheduler.setEvacuatedZones({Zone1});
+  Site.JobScheduler.updateUpstream({.Id = UpstreamId("a"),
+                                    .Pool = PoolId("pool"),
+                                    .Zone = Zone1,
+                                    .IncarnationStartMs = 1},
+                                   at(Site.NowMs));
+  CHECK(Site.JobScheduler.evacuatedZoneLoads().at(Zone1).MayHaveMore);
+}
--- a/packages/site/include/sardinerill/site/isitesource.h
+++ b/packages/site/include/sardinerill/site/isitesource.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinerill/evacuation/evacuationstatus.h"
 #include "sardinerill/evacuation/zoneevacuations.h"
 #include "sardinerill/http/httptypes.h"
 #include "sardinerill/scheduling/schedulingtypes.h"
@@ -46,6 +47,14 @@
   /// Publishes the state of a maintenance wave to operators.
   virtual Async<Result<void>> publishWave(std::int64_t Wave, bool Completed,
                                           Duration Timeout) = 0;
+  /// Publishes the state of the evacuation of \p Zone to operators.
+  /// \param State none: removes what was published.
+  virtual Async<Result<void>>
+  publishEvacuation(ZoneId Zone, std::optional<EvacuationState> State,
+                    Duration Timeout) = 0;
+  /// Reads the published states of all evacuations.
+  virtual Async<Result<std::map<ZoneId, EvacuationState>>>
+  readPublishedEvacuations(Duration Timeout) = 0;
 };
 
 } // namespace sardinerill::site
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -99,7 +99,17 @@
                             .Ownership = this->Ownership,
                             .SchedulingEvent = this->SchedulingEvent,
                             .Stats = Deps.Stats,
-                            .Evacuations = Deps.Evacuations})) {}
+                            .Evacuations = Deps.Evacuations})),
+      Publisher(std::make_shared<EvacuationPublisher>(EvacuationPublisherDeps{
+          .Clock = Deps.Clock,
+          .Source = Deps.Source,
+          .JobScheduler = this->JobScheduler,
+          .Ownership = this->Ownership,
+          .Evacuations = Deps.Evacuations,
+          .Stats = Deps.Stats,
+          .HasVmIn = [Coordinator = this->Coordinator](const ZoneId &Zone) {
+            return Coordinator->hasVmIn(Zone);
+          }})) {}
 
 void Holder::run() {
   const auto Self = this->shared_from_this();
@@ -126,6 +136,7 @@
 void Holder::stop() {
   this->Context->Stopped = true;
   this->Coordinator->stop();
+  this->Publisher->stop();
   for (auto &[Id, Link] : this->Links)
     Link->close();
   this->SchedulingEvent.notify();
@@ -342,6 +353,11 @@
     if (Snapshot) {
       this->applyRegistry(*Snapshot);
       this->SchedulingEvent.notify();
+      if (!std::exchange(this->PublisherStarted, true))
+        spawn(this->Deps.Executor, "holder-evacuations",
+              [Self = this->shared_from_this()] {
+                return Self->Publisher->run();
+              });
     } else {
       // After a failed read it is unknown which entries are missing.
       this->MissingFromRegistrySince.clear();
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "evacuationpublisher.h"
 #include "jobtable.h"
 #include "upstreamlink.h"
 #include "vmcoordinator.h"
@@ -104,6 +105,8 @@
   std::map<UpstreamId, std::shared_ptr<UpstreamLink>> Links;
   std::map<UpstreamId, Instant> MissingFromRegistrySince;
   std::shared_ptr<VmCoordinator> Coordinator;
+  std::shared_ptr<EvacuationPublisher> Publisher;
+  bool PublisherStarted = false;
   bool Loaded = false;
   bool Storing = false;
   /// Calls that store progress end by then; moved forward by a planned stop.
--- a/packages/site/tests/evacuation_test.cpp
+++ b/packages/site/tests/evacuation_test.cpp
@@ -1,3 +1,4 @@
+#include "evacuationfakes.h"
 #include "fakestore.h"
 #include "holder.h"
 #include "unixtime.h"
@@ -10,83 +11,6 @@
 
 namespace {
 
-const ZoneId Zone1("z1");
-
-/// Lists one upstream, which is in Zone1.
-class OneUpstreamSource : public ISiteSource {
-public:
-  Async<Result<OperatorSnapshot>> readOperatorSnapshot(Duration) override {
-    co_return OperatorSnapshot{};
-  }
-  Async<Result<OperatorSnapshot>> waitForOperatorChanges(std::int64_t,
-                                                         Duration) override {
-    co_return OperatorSnapshot{};
-  }
-  Async<Result<RegistrySnapshot>> readRegistry(Duration) override {
-    co_return RegistrySnapshot{.Upstreams = {{.Id = UpstreamId("u1"),
-                                              .Pool = PoolId("pool"),
-                                              .Address = "127.0.0.1:1",
-                                              .Zone = Zone1,
-                                              .Vm = VmId("vm-1"),
-                                              .IncarnationStartMs = 1,
-                                              .Capacity = {8000, 8000, 0}}}};
-  }
-  Async<Result<void>> publishWave(std::int64_t, bool, Duration) override {
-    co_return Result<void>();
-  }
-};
-
-/// Accepts starts and lists what was started as active.
-class AcceptingUpstream : public IUpstreamClient {
-public:
-  explicit AcceptingUpstream(std::vector<RunId> &Started) : Started(Started) {}
-  Async<PollResponse> poll(PollRequest Request, Duration) override {
-    co_await sleepFor(std::min<Duration>(Request.Wait, milliseconds(20)));
-    PollResponse Answer{.Outcome = PollOutcome::Answered,
-                        .Listing = {.ClockMs = 1, .IncarnationStartMs = 1}};
-    for (const RunId &Run : this->Started)
-      Answer.Listing.Active.push_back({.Run = Run});
-    co_return Answer;
-  }
-  Async<StartOutcome> start(StartCommand Start, std::int64_t, std::int64_t,
-                            Duration) override {
-    this->Started.push_back(Start.Run);
-    co_return StartOutcome::Accepted;
-  }
-  Async<StopOutcome> stop(StopCommand, std::int64_t, Duration) override {
-    co_return StopOutcome::Acknowledged;
-  }
-  Async<bool> setPace(PaceCommand, std::int64_t, Duration) override {
-    co_return true;
-  }
-
-private:
-  std::vector<RunId> &Started;
-};
-
-class AcceptingUpstreams : public IUpstreamClientFactory {
-public:
-  std::unique_ptr<IUpstreamClient> connect(const UpstreamReport &) override {
-    return std::make_unique<AcceptingUpstream>(this->Started);
-  }
-  std::vector<RunId> Started;
-};
-
-class NoVms : public ISiteVmControl {
-public:
-  Async<Result<std::vector<VmRecord>>> list(Duration) override {
-    co_return std::vector<VmRecord>{};
-  }
-  Async<VmCommandOutcome> move(VmId, PoolId, VmCommandIssuer,
-                               Duration) override {
-    co_return VmCommandOutcome::Rejected;
-  }
-  Async<VmCommandOutcome> startMaintenance(VmId, std::int64_t, VmCommandIssuer,
-                                           Duration) override {
-    co_return VmCommandOutcome::Rejected;
-  }
-};
-
 /// A holder that has just taken over, with one upstream.
 struct HolderFixture {
   boost::asio::io_context Context;
@@ -189,3 +113,21 @@
   Site.runFor(milliseconds(500));
   CHECK(Site.started() == 1);
 }
+
+TEST_CASE("operators see a request as running, then completed, until it is "
+          "withdrawn") {
+  HolderFixture Site;
+  Site.readRows();
+  const EvacuationRow Request{.Zone = Zone1, .Version = 50};
+  Site.Evacuations.applyChanges({&Request, 1}, Site.Clock.now());
+  Site.runFor(milliseconds(1500));
+  const EvacuationRow Removal{.Zone = Zone1, .Version = 51, .Requested = false};
+  Site.Evacuations.applyChanges({&Removal, 1}, Site.Clock.now());
+  Site.OperatorRows.recordRead(Site.Clock.now());
+  Site.runFor(milliseconds(1200));
+  using Write = std::pair<ZoneId, std::optional<EvacuationState>>;
+  CHECK(Site.Source.Published ==
+        std::vector<Write>{{Zone1, EvacuationState::Running},
+                           {Zone1, EvacuationState::Completed},
+                           {Zone1, std::nullopt}});
+}
--- a/packages/site/tests/vmevacuation_test.cpp
+++ b/packages/site/tests/vmevacuation_test.cpp
@@ -28,6 +28,14 @@
   Async<Result<void>> publishWave(std::int64_t, bool, Duration) override {
     co_return Result<void>();
   }
+  Async<Result<void>> publishEvacuation(ZoneId, std::optional<EvacuationState>,
+                                        Duration) override {
+    co_return Result<void>();
+  }
+  Async<Result<std::map<ZoneId, EvacuationState>>>
+  readPublishedEvacuations(Duration) override {
+    co_return std::map<ZoneId, EvacuationState>{};
+  }
 };
 
 /// Lists the given VMs and records the commands.
