--- a/packages/evacuation/include/sardinerill/evacuation/zoneevacuations.h
+++ b/packages/evacuation/include/sardinerill/evacuation/zoneevacuations.h
@@ -96,8 +96,15 @@
   /// be in force, and more than two long polls of 1 s.
   static constexpr milliseconds MaxAge{2500};
 
-  /// Records a successful read of the rows that was sent at \p SentAt.
-  void recordRead(Instant SentAt);
+  /// Records a successful read that shows the rows as they were at \p AsOf or
+  /// later; see answerTime().
+  void recordRead(Instant AsOf);
+  /// \returns a time at which the answer to a read was still true. The table
+  /// answers a long poll without changes only when its wait is over, so that
+  /// one lost answer in a row of polls does not make the rows stale.
+  /// \param Unchanged whether it showed no change; false for other reads.
+  static Instant answerTime(Instant SentAt, Duration Wait, bool Unchanged,
+                            Instant Now);
   /// Records that another daemon that had read the rows gave its state, on a
   /// question sent at \p SentAt.
   void recordPeerState(Instant SentAt);
--- a/packages/evacuation/src/zoneevacuations.cpp
+++ b/packages/evacuation/src/zoneevacuations.cpp
@@ -116,9 +116,14 @@
   }
 }
 
-void OperatorRowsAge::recordRead(Instant SentAt) {
+void OperatorRowsAge::recordRead(Instant AsOf) {
   this->HasRead = true;
-  this->InformedAt = std::max(this->InformedAt, SentAt);
+  this->InformedAt = std::max(this->InformedAt, AsOf);
+}
+
+Instant OperatorRowsAge::answerTime(Instant SentAt, Duration Wait,
+                                    bool Unchanged, Instant Now) {
+  return Unchanged && Now - SentAt >= Wait ? SentAt + Wait : SentAt;
 }
 
 void OperatorRowsAge::recordPeerState(Instant SentAt) {
--- a/packages/evacuation/tests/zoneevacuations_test.cpp
+++ b/packages/evacuation/tests/zoneevacuations_test.cpp
@@ -162,3 +162,21 @@
   Rows.recordRead(at(2650));
   CHECK((Rows.startHold(at(2700), true) == StartHold::None));
 }
+
+TEST_CASE("one lost answer in a row of long polls does not hold starts") {
+  // A poll sent at 0 is answered after its wait of 1 s; the next one is lost
+  // and fails 1.7 s later; a third, without a wait, is answered at once.
+  CHECK((OperatorRowsAge::answerTime(at(0), seconds(1), true, at(1020)) ==
+         at(1000)));
+  OperatorRowsAge Rows;
+  Rows.endQuestions();
+  Rows.recordRead(
+      OperatorRowsAge::answerTime(at(0), seconds(1), true, at(1020)));
+  CHECK((Rows.startHold(at(3000), true) == StartHold::None));
+  // An answer that came early, or with a change, was true when it was asked
+  // for; when it was given is not known.
+  CHECK(
+      (OperatorRowsAge::answerTime(at(0), seconds(1), true, at(400)) == at(0)));
+  CHECK((OperatorRowsAge::answerTime(at(0), seconds(1), false, at(1020)) ==
+         at(0)));
+}
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -68,7 +68,7 @@
   Async<void> checkConfiguration();
   /// Asks \p Peer for the evacuations that it knows of.
   Async<void> fetchEvacuations(Endpoint Peer);
-  void applyEvacuations(const OperatorSnapshot &Snapshot, Instant SentAt);
+  void applyEvacuations(const OperatorSnapshot &Snapshot, Instant AsOf);
   /// Logs \p Changes of the evacuations and puts them in force.
   void reportEvacuations(const std::vector<ZoneEvacuation> &Changes,
                          std::string_view Source);
@@ -250,9 +250,9 @@
 }
 
 void SiteDaemon::State::applyEvacuations(const OperatorSnapshot &Snapshot,
-                                         Instant SentAt) {
+                                         Instant AsOf) {
   const Instant Now = this->Clock.now();
-  this->OperatorRows.recordRead(SentAt);
+  this->OperatorRows.recordRead(AsOf);
   this->reportEvacuations(
       Snapshot.IsFullRead
           ? this->Evacuations.applyFullRead(Snapshot.Evacuations,
@@ -317,15 +317,20 @@
   while (true) {
     const bool IsFirst = Version < 0;
     const Instant SentAt = this->Clock.now();
+    const Duration Wait = HasFailed ? milliseconds(0) : ConfigurationPollWait;
     const auto Snapshot =
-        IsFirst
-            ? co_await this->Adapters.Source->readOperatorSnapshot(
-                  ConfigurationReadTimeout)
-            : co_await this->Adapters.Source->waitForOperatorChanges(
-                  Version, HasFailed ? milliseconds(0) : ConfigurationPollWait);
+        IsFirst ? co_await this->Adapters.Source->readOperatorSnapshot(
+                      ConfigurationReadTimeout)
+                : co_await this->Adapters.Source->waitForOperatorChanges(
+                      Version, Wait);
     HasFailed = !Snapshot;
     if (Snapshot) {
-      this->applyEvacuations(*Snapshot, SentAt);
+      const bool Unchanged = !IsFirst && !Snapshot->Configuration &&
+                             Snapshot->Waves.empty() &&
+                             Snapshot->Evacuations.empty();
+      this->applyEvacuations(
+          *Snapshot, OperatorRowsAge::answerTime(SentAt, Wait, Unchanged,
+                                                 this->Clock.now()));
       this->applyConfiguration(*Snapshot);
       Version = std::max(Version, Snapshot->Version);
       if (this->Startup.needsNewerRead())
