The publisher of evacuations passes the linter

Cause: clang-tidy-16 crashes (bugprone-unchecked-optional-access) on a coroutine that tests an optional in a conditional expression.

--- a/packages/site/src/evacuationpublisher.cpp
+++ b/packages/site/src/evacuationpublisher.cpp
@@ -15,6 +15,18 @@
 constexpr seconds RelistPause{5};
 constexpr seconds WaitLogInterval{5};
 
+void logWrite(const EvacuationStatusWrite &Write) {
+  if (!Write.State) {
+    logEvent(LogLevel::Info, "evacuation.status_removed",
+             {{"zone", Write.Zone.str()}});
+    return;
+  }
+  const bool Completed = *Write.State == EvacuationState::Completed;
+  logEvent(LogLevel::Info, "evacuation.announced",
+           {{"zone", Write.Zone.str()},
+            {"state", Completed ? "completed" : "running"}});
+}
+
 } // namespace
 
 Async<void> EvacuationPublisher::run() {
@@ -87,13 +99,7 @@
       co_await sleepFor(RelistPause);
       co_return;
     }
-    const bool Completed = Write.State == EvacuationState::Completed;
-    logEvent(LogLevel::Info,
-             Write.State ? "evacuation.announced" : "evacuation.status_removed",
-             {{"zone", Write.Zone.str()},
-              {"state", !Write.State ? "none"
-                        : Completed  ? "completed"
-                                     : "running"}});
+    logWrite(Write);
   }
 }
 
