Copies of slow runs for steps that allow them

A job waits for one run on a slow upstream while capacity is idle, although its step allows a second run.

Change (compare-upstream-speed): an overdue run on a slow or failing upstream, or without progress for 1.5 s, gets a copy on a healthy one that meets canRun and the ceiling, if no work of the pool waits. The first to end stops the other. No copy with one attempt left or with checkpoints. After a takeover, possible copies count against the ceiling until all upstreams have answered.

Not covered: StartKnown, Resumed, Gang and LongRunning in isMeasurable(), the second count of an overdue run, and NotBefore, suspects, inherited runs and AvoidUntil for copies.

--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -57,6 +57,7 @@
 struct SpeedCounts {
   int SlowUpstreams = 0;      ///< At present, including unhealthy ones.
   int UnhealthyUpstreams = 0; ///< At present; see UpstreamHealth.
+  std::int64_t Copies = 0; ///< Copies of runs since the scheduler was created.
 };
 
 struct UpstreamLoad {
--- a/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
+++ b/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
@@ -64,8 +64,7 @@
   bool Gang = false;          ///< All tasks start together or not at all.
   bool SameRack = false;    ///< Prefers one rack for all tasks of a gang, which
                             ///< are slow if spread over several racks.
-  bool Speculative = false; ///< A second run of a task that an upstream lists
-                            ///< is not stopped.
+  bool Speculative = false; ///< A task may have two runs at a time.
   bool LongRunning = false; ///< Restarted whenever it ends, until the job is
                             ///< cancelled.
   bool BestEffort = false;  ///< Uses only CPU that other tasks leave idle.
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -91,6 +91,8 @@
   const StepSpec &Step = *Request.Step;
   if (Candidate.Report.Pool != Request.Pool || !Candidate.acceptsTasks())
     return false;
+  if (Request.HealthyOnly && !Candidate.Health.isHealthy())
+    return false;
   if (Candidate.OnProbation)
     return false; // If it crashes, no other run may be the cause.
   if (Request.Now < Request.Task->Crashes.IdleOnlyUntil &&
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -42,6 +42,8 @@
   Instant Now{};
   /// One of the last tasks of its step to be started.
   bool EndsStep = false;
+  /// Whether upstreams that are not healthy are excluded.
+  bool HealthyOnly = false;
   /// If set, the task prefers other racks and zones than the step's runs.
   const StepSpread *Spread = nullptr;
 };
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -402,8 +402,11 @@
   // First, because they need an upstream on which nothing has just begun.
   for (const WaitingStep &Step : Waiting)
     Scheduling.placeSuspects(Step, Now);
+  std::set<PoolId> Short;
   for (const WaitingStep &Step : Waiting)
-    Scheduling.placeTasks(Step, Now);
+    if (!Scheduling.placeTasks(Step, Now))
+      Short.insert(Step.Queue->Pool);
+  Scheduling.placeCopies(Short, Now);
 }
 
 } // namespace sardinerill::site
--- a/packages/scheduling/src/schedulerinherited.cpp
+++ b/packages/scheduling/src/schedulerinherited.cpp
@@ -21,8 +21,10 @@
 
 /// \returns for each step whether an earlier holder may have started it: what
 /// it depends on has ended, or may have where this holder got no answer.
+/// \param Copies whether a task that runs may have another run.
 std::vector<bool> stepsThatMayRun(const JobSpec &Spec,
-                                  const OccurrenceRecord &Occurrence) {
+                                  const OccurrenceRecord &Occurrence,
+                                  bool Copies) {
   std::vector<bool> MayRun(Spec.Steps.size());
   std::vector<bool> MayHaveEnded(Spec.Steps.size());
   for (std::size_t Step = 0; Step < Spec.Steps.size(); ++Step) {
@@ -33,11 +35,12 @@
                  MayHaveEnded[std::size_t(Dependency)];
         });
     MayHaveEnded[Step] =
-        MayRun[Step] && std::ranges::all_of(Occurrence.Steps[Step].Tasks,
-                                            [](const TaskRecord &Task) {
-                                              return Task.Done ||
-                                                     Task.Runs.empty();
-                                            });
+        MayRun[Step] && ((Copies && Spec.Steps[Step].Speculative) ||
+                         std::ranges::all_of(Occurrence.Steps[Step].Tasks,
+                                             [](const TaskRecord &Task) {
+                                               return Task.Done ||
+                                                      Task.Runs.empty();
+                                             }));
   }
   return MayRun;
 }
@@ -135,7 +138,8 @@
 PossibleUse Scheduler::Impl::possibleUseOf(const JobRecord &Job) const {
   PossibleUse Sum;
   for (const auto &[Number, Occurrence] : Job.Occurrences) {
-    const std::vector<bool> MayRun = stepsThatMayRun(Job.Spec, Occurrence);
+    const std::vector<bool> MayRun =
+        stepsThatMayRun(Job.Spec, Occurrence, this->comparesSpeed());
     for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step) {
       if (!MayRun[Step])
         continue;
@@ -146,6 +150,15 @@
       const StepSpec &Spec = Job.Spec.Steps[Step];
       (Spec.BestEffort ? Sum.BestEffort : Sum.Reserved) +=
           Spec.Requested * TasksWithoutRun;
+      // An earlier holder may have started copies of the others.
+      if (this->comparesSpeed() && Spec.Speculative && !Spec.LongRunning &&
+          !Spec.Gang)
+        Sum.Reserved +=
+            Spec.Requested *
+            std::ranges::count_if(Occurrence.Steps[Step].Tasks,
+                                  [](const TaskRecord &Task) {
+                                    return Task.Done || Task.Runs.size() == 1;
+                                  });
     }
   }
   return Sum;
--- a/packages/scheduling/src/schedulerspeed.cpp
+++ b/packages/scheduling/src/schedulerspeed.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 
 /// \file
-/// Measurement of the upstreams' speed.
+/// Measurement of the upstreams' speed, and copies of slow runs.
 ///
 /// Everything here is without effect unless
 /// SchedulingPolicy::CompareUpstreamSpeed is set.
@@ -21,6 +21,14 @@
                                     : Upstream.Report.Vm;
 }
 
+/// A copy is started if the run is expected to go on for more than this
+/// multiple of the forecast: forecasts are off by half, and a copy that ends
+/// later is discarded work.
+constexpr double MinRemainingForCopy = 1.2;
+/// A run without progress for this long gets a copy; above the interval of
+/// listings (1 s) and below the time after which it is stopped (2.5 s).
+constexpr milliseconds StallTimeout{1500};
+
 } // namespace
 
 Duration Scheduler::Impl::expectedDuration(const JobRecord &Job,
@@ -104,7 +112,7 @@
 }
 
 SpeedCounts Scheduler::speedCounts() const {
-  SpeedCounts Counts;
+  SpeedCounts Counts{.Copies = this->Inner->CopiesStarted};
   for (const auto &[Id, Upstream] : this->Inner->Upstreams) {
     const bool Healthy = Upstream->Health.isHealthy();
     Counts.SlowUpstreams += !Healthy || Upstream->Health.isSlow();
@@ -123,4 +131,81 @@
   return Spread;
 }
 
+bool Scheduler::Impl::deservesCopy(const UpstreamRecord &Upstream,
+                                   const Run &Candidate, Instant Now) {
+  const JobRecord *Job = this->job(Candidate.Id.Task.Job);
+  const TaskRecord *Task = this->task(Candidate.Id.Task);
+  const StepSpec *Step = this->spec(Candidate.Id.Task);
+  // Two runs of a task would overwrite each other's checkpoints.
+  if (!Job || !Task || !Step || !Step->Speculative || Step->Checkpoints ||
+      !this->isMeasurable(Upstream, Candidate, *Step))
+    return false;
+  // The failure of a copy must not end a job whose first run is at work.
+  if (int(Task->FailedRuns.size()) + 1 >=
+      this->queueSettingsOf(*Job).MaxAttempts)
+    return false;
+  // A run of an ended job or of a task that is done is being stopped.
+  if (Candidate.StopRequested || Task->Runs.size() != 1 ||
+      Task->NotBefore > Now || isSuspect(Task->Crashes))
+    return false;
+  // A task that is long on a normal upstream is as long on any other.
+  const bool Stalled = Now - Candidate.ProgressAt > StallTimeout;
+  if (!Stalled && Upstream.Health.isHealthy())
+    return false;
+  const Duration Expected = this->expectedDuration(*Job, *Step);
+  const Duration Age = Now - Candidate.PhaseChangedAt;
+  const std::optional<Duration> Total =
+      overdueDuration(Age, Candidate.Percent, Expected);
+  return Total && double((*Total - Age).count()) >
+                      MinRemainingForCopy * double(Expected.count());
+}
+
+void Scheduler::Impl::placeCopies(const std::set<PoolId> &Short, Instant Now) {
+  if (!this->comparesSpeed())
+    return;
+  std::vector<TaskId> Slow;
+  for (const auto &[Id, Upstream] : this->Upstreams)
+    for (const auto &[Run, Candidate] : Upstream->Runs)
+      if (this->deservesCopy(*Upstream, *Candidate, Now))
+        Slow.push_back(Run.Task);
+  for (const TaskId &Id : Slow)
+    if (!Short.contains(this->queueSettingsOf(*this->job(Id.Job)).Pool))
+      this->placeCopy(Id, Short.empty(), Now);
+}
+
+void Scheduler::Impl::placeCopy(const TaskId &Id, bool MayUseIdleVms,
+                                Instant Now) {
+  JobRecord &Job = *this->job(Id.Job);
+  const QueueSettings &Queue = this->queueSettingsOf(Job);
+  if (this->isBlockedByInheritedRuns(Job, Queue.Pool))
+    return;
+  const WaitingStep Copied{&Job, &Queue, Id.Occurrence, Id.Step};
+  const StepSpec &Spec = Copied.spec();
+  StepRecord &Record = Copied.record();
+  const TaskRecord &Task = Record.Tasks[std::size_t(Id.Index)];
+  const OrganisationId &Organisation = Job.Spec.Organisation;
+  if (!this->fitsCeiling(Organisation,
+                         Spec.Requested +
+                             this->possibleInheritedUse(Organisation)))
+    return;
+  UpstreamRecord *Upstream =
+      this->chooseUpstream({.Step = &Spec,
+                            .Record = &Record,
+                            .Pool = Queue.Pool,
+                            .Task = &Task,
+                            .NeedsTicket = Queue.NeedsAdvice,
+                            .Now = Now,
+                            .HealthyOnly = true});
+  // While work waits in another pool, idle VMs are left to the planner.
+  if (!Upstream || Upstream->AvoidUntil > Now ||
+      (Upstream->Runs.empty() && !MayUseIdleVms))
+    return;
+  const int Number = this->nextRunNumber(Job, Task);
+  this->start(*Upstream, Copied, Id.Index, Number, Now);
+  ++this->CopiesStarted;
+  logEvent(LogLevel::Info, "run.copied",
+           {{"run", describe(RunId{Id, Number})},
+            {"upstream", Upstream->Report.Id.str()}});
+}
+
 } // namespace sardinerill::site
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -199,7 +199,7 @@
                       &ShortTasks,
                   std::map<PoolId, PoolDemand> &Demand) const;
 
-  // Speed of upstreams (schedulerspeed.cpp)
+  // Speed of upstreams and copies of slow runs (schedulerspeed.cpp)
   bool comparesSpeed() const {
     return this->Options.Policy.CompareUpstreamSpeed;
   }
@@ -219,6 +219,14 @@
   void updateHealth(Instant Now);
   /// \returns the failure domains of the runs of \p Step.
   StepSpread spreadOf(const StepRecord &Step) const;
+  /// Starts copies of runs that are much slower than forecast.
+  /// \param Short pools in which work waits for capacity; they get none.
+  void placeCopies(const std::set<PoolId> &Short, Instant Now);
+  /// \returns whether a fresh run of the task of \p Candidate on a healthy
+  /// upstream is expected to end well before it.
+  bool deservesCopy(const UpstreamRecord &Upstream, const Run &Candidate,
+                    Instant Now);
+  void placeCopy(const TaskId &Id, bool MayUseIdleVms, Instant Now);
 
   // Supervision of running tasks (schedulersupervision.cpp)
   void updateUnresponsiveZones();
@@ -264,6 +272,7 @@
   std::vector<EndedInheritedJob> EndedInheritedJobs;
   std::map<QueueId, RunTimeFactor> RunTimeFactors;
   UpstreamSpeeds Speeds;
+  std::int64_t CopiesStarted = 0;
   std::map<OrganisationId, ShareLimiter> ShareLimiters;
   std::map<QueueId, ArrivalRateEstimator> ArrivalRates;
   /// Upper bound of the free resources on any one upstream of a pool. It is
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -438,6 +438,7 @@
                             double(Speed.SlowUpstreams));
   this->Deps.Stats.setGauge("holder_unhealthy_upstreams",
                             double(Speed.UnhealthyUpstreams));
+  this->Deps.Stats.setGauge("holder_run_copies", double(Speed.Copies));
 }
 
 } // namespace sardinerill::site
--- a/packages/upstreamspeed/tests/upstreamspeeds_test.cpp
+++ b/packages/upstreamspeed/tests/upstreamspeeds_test.cpp
@@ -136,3 +136,31 @@
   Speeds.recordFailure(Normal, at(50000));
   CHECK(Speeds.healthOf(Normal, at(100000)).isHealthy());
 }
+
+TEST_CASE("old measurements do not regain weight with new ones") {
+  // Guards against judging an upstream by a disturbance a minute ago.
+  UpstreamSpeeds Speeds;
+  recordFleet(Speeds, 30, 3000);
+  Speeds.recordFailure(Slow, at(3000));
+  Speeds.recordFailure(Slow, at(3000));
+  Speeds.recordRun(Slow, taking(1000), at(63000));
+  Speeds.recordSuccess(Slow, at(63000));
+  CHECK_FALSE(Speeds.healthOf(Slow, at(63000)).isSlow());
+  CHECK(Speeds.healthOf(Slow, at(63000)).FailureRate < 0.1);
+  // One that arrives out of order does not make newer ones older.
+  Speeds.recordFailure(Slow, at(63000));
+  Speeds.recordFailure(Slow, at(43000));
+  CHECK_FALSE(Speeds.healthOf(Slow, at(63000)).isHealthy());
+}
+
+TEST_CASE("a single run does not make an upstream slow, the latest 24 do") {
+  // Guards against the long tail of durations, and against an upstream that
+  // becomes slow after a long time.
+  UpstreamSpeeds Speeds;
+  recordFleet(Speeds, 100, 1000);
+  Speeds.recordRun(VmId("new"), taking(1000000), at(10000));
+  CHECK_FALSE(Speeds.healthOf(VmId("new"), at(10000)).isSlow());
+  for (int Run = 0; Run < 24; ++Run)
+    Speeds.recordRun(Slow, taking(3000), at(10000));
+  CHECK(Speeds.healthOf(Slow, at(10000)).isSlow());
+}
