Cheaper checks for copies and spreading

Each round looked up the job and task of every run to see whether it gets a copy, and each candidate of a task was compared with every run of its step. Now only runs that are stalled or on an unhealthy upstream are looked up, and the runs of a step are counted for each upstream. Decisions are the same.

The duration of a round was not measured.

--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -66,18 +66,20 @@
              : std::string_view();
 }
 
-void StepSpread::add(std::string_view Rack, std::string_view Zone) {
-  this->Runs.emplace_back(Rack, Zone);
+void StepSpread::add(std::string_view Rack, std::string_view Zone, int Count) {
+  this->Entries.push_back({.Rack = Rack, .Zone = Zone, .Count = Count});
+  this->Total += Count;
 }
 
 double StepSpread::sharedWith(const UpstreamRecord &Candidate) const {
-  if (this->Runs.empty())
+  if (this->Total == 0)
     return 0;
+  const std::string_view OwnRack = Candidate.rack();
+  const std::string_view OwnZone = Candidate.Report.Zone.str();
   double Shared = 0;
-  for (const auto &[Rack, Zone] : this->Runs)
-    Shared += 0.5 * (Rack == Candidate.rack()) +
-              0.5 * (Zone == Candidate.Report.Zone.str());
-  return Shared / double(this->Runs.size());
+  for (const auto &[Rack, Zone, Count] : this->Entries)
+    Shared += 0.5 * Count * ((Rack == OwnRack) + (Zone == OwnZone));
+  return Shared / this->Total;
 }
 
 Resources reservedResources(const StepSpec &Step) {
--- a/packages/scheduling/src/placement.h
+++ b/packages/scheduling/src/placement.h
@@ -17,16 +17,21 @@
 /// Failure domains of the present runs of a step.
 class StepSpread {
 public:
-  /// Counts a run on an upstream of \p Rack and \p Zone, whose texts must
-  /// outlive this object.
-  void add(std::string_view Rack, std::string_view Zone);
+  /// Counts \p Count runs on an upstream of \p Rack and \p Zone, whose texts
+  /// must outlive this object.
+  void add(std::string_view Rack, std::string_view Zone, int Count = 1);
   /// \returns the part, 0 to 1, of the runs that share the rack or the zone of
   /// \p Candidate; a run that shares only one of them counts half.
   double sharedWith(const UpstreamRecord &Candidate) const;
 
 private:
-  /// Rack and zone of each run.
-  std::vector<std::pair<std::string_view, std::string_view>> Runs;
+  struct Entry {
+    std::string_view Rack;
+    std::string_view Zone;
+    int Count = 0;
+  };
+  std::vector<Entry> Entries; ///< One for each upstream.
+  int Total = 0;
 };
 
 /// The task to place. Step, Record and Task must not be null.
--- a/packages/scheduling/src/schedulerspeed.cpp
+++ b/packages/scheduling/src/schedulerspeed.cpp
@@ -126,13 +126,18 @@
   for (const auto &[Id, Count] : Step.RunsPerUpstream)
     if (const auto Found = this->Upstreams.find(Id);
         Found != this->Upstreams.end())
-      for (int Run = 0; Run < Count; ++Run)
-        Spread.add(Found->second->rack(), Found->second->Report.Zone.str());
+      Spread.add(Found->second->rack(), Found->second->Report.Zone.str(),
+                 Count);
   return Spread;
 }
 
 bool Scheduler::Impl::deservesCopy(const UpstreamRecord &Upstream,
                                    const Run &Candidate, Instant Now) {
+  // A task that is long on a normal upstream is as long on any other. Checked
+  // first, because all runs are looked at in each round.
+  const bool Stalled = Now - Candidate.ProgressAt > StallTimeout;
+  if (Candidate.LongRunning || (!Stalled && Upstream.Health.isHealthy()))
+    return false;
   const JobRecord *Job = this->job(Candidate.Id.Task.Job);
   const TaskRecord *Task = this->task(Candidate.Id.Task);
   const StepSpec *Step = this->spec(Candidate.Id.Task);
@@ -148,10 +153,6 @@
   if (Candidate.StopRequested || Task->Runs.size() != 1 ||
       Task->NotBefore > Now || isSuspect(Task->Crashes))
     return false;
-  // A task that is long on a normal upstream is as long on any other.
-  const bool Stalled = Now - Candidate.ProgressAt > StallTimeout;
-  if (!Stalled && Upstream.Health.isHealthy())
-    return false;
   const Duration Expected = this->expectedDuration(*Job, *Step);
   const Duration Age = Now - Candidate.PhaseChangedAt;
   const std::optional<Duration> Total =
