--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -405,6 +405,19 @@
   return this->Inner->Jobs;
 }
 
+std::set<PoolId> Scheduler::Impl::placeInOrder(std::vector<WaitingStep> Waiting,
+                                               Instant Now) {
+  std::ranges::stable_sort(Waiting, isPlacedBefore, &WaitingStep::Work);
+  // First, because they need an upstream on which nothing has just begun.
+  for (const WaitingStep &Step : Waiting)
+    this->placeSuspects(Step, Now);
+  std::set<PoolId> Short;
+  for (const WaitingStep &Step : Waiting)
+    if (!this->placeTasks(Step, Now))
+      Short.insert(Step.Queue->Pool);
+  return Short;
+}
+
 void Scheduler::schedule(Instant Now, std::int64_t UnixMs) {
   Impl &Scheduling = *this->Inner;
   for (const auto &[Id, Job] : Scheduling.LiveJobs)
@@ -419,16 +432,11 @@
   if (std::exchange(Scheduling.SharesToRecount, false))
     Scheduling.recountShares();
   std::vector<WaitingStep> Waiting = Scheduling.waitingSteps(Now, UnixMs);
-  if (Scheduling.Options.Policy.FairShares) {
-    Scheduling.placeByFairShares(Waiting, Now);
-    return;
-  }
-  std::ranges::stable_sort(Waiting, isPlacedBefore, &WaitingStep::Work);
-  // First, because they need an upstream on which nothing has just begun.
-  for (const WaitingStep &Step : Waiting)
-    Scheduling.placeSuspects(Step, Now);
-  for (const WaitingStep &Step : Waiting)
-    Scheduling.placeTasks(Step, Now);
+  const std::set<PoolId> Short =
+      Scheduling.Options.Policy.FairShares
+          ? Scheduling.placeByFairShares(Waiting, Now)
+          : Scheduling.placeInOrder(std::move(Waiting), Now);
+  Scheduling.placeCopies(Short, Now);
 }
 
 } // namespace sardinerill::site
--- a/packages/scheduling/src/schedulerdemand.cpp
+++ b/packages/scheduling/src/schedulerdemand.cpp
@@ -96,9 +96,9 @@
             this->Inner->Configuration.queue(Queue)) {
       // Forecasts are already part of the arriving work, see addJob().
       const auto Learned = this->Inner->RunTimeFactors.find(Queue);
-      const double Factor = Learned == this->Inner->RunTimeFactors.end()
-                                ? 1.0
-                                : Learned->second.Factor;
+      const bool UseFactor = !this->Inner->Options.Policy.LearnRunTimes &&
+                             Learned != this->Inner->RunTimeFactors.end();
+      const double Factor = UseFactor ? Learned->second.Factor : 1.0;
       Demand[Settings->Pool].ArrivingCpuMilli += std::int64_t(
           Estimator.expected(Now, VmMoveLeadSeconds) * Factor * 1000);
     }
--- a/packages/scheduling/src/schedulerfairshares.cpp
+++ b/packages/scheduling/src/schedulerfairshares.cpp
@@ -165,8 +165,10 @@
     this->placeSuspects(*Step, Now);
 }
 
-void Scheduler::Impl::placeByFairShares(const std::vector<WaitingStep> &Waiting,
-                                        Instant Now) {
+std::set<PoolId>
+Scheduler::Impl::placeByFairShares(const std::vector<WaitingStep> &Waiting,
+                                   Instant Now) {
+  std::set<PoolId> Short;
   // First, because they need an upstream on which nothing has just begun.
   this->placeAllSuspects(Waiting, Now);
   FairRound Round = this->fairRoundOf(Waiting);
@@ -181,17 +183,21 @@
     // Saves most of the time that a round takes while the pools are full. Steps
     // that need tickets request them before there is capacity.
     if (!Step.Queue->NeedsAdvice &&
-        !this->mayFitInPool(Step.Queue->Pool, reservedResources(Step.spec())))
+        !this->mayFitInPool(Step.Queue->Pool, reservedResources(Step.spec()))) {
+      Short.insert(Step.Queue->Pool);
       continue;
+    }
     const bool Counts = countsForBalance(Step);
     const std::size_t CommandsBefore = this->Commands.size();
-    this->placeTasks(Step, Now);
+    if (!this->placeTasks(Step, Now))
+      Short.insert(Step.Queue->Pool);
     if (this->Commands.size() == CommandsBefore)
       continue; // Nothing was started, so the use is unchanged.
     if (Counts && Step.Job->Started)
       this->SizeBalances[Step.Job->Spec.Queue.Id].started(*Step.Job->Size, Now);
     Order.setUse(this->useOf(Round.Lanes[Round.Works[*Index].Lane]));
   }
+  return Short;
 }
 
 } // namespace sardinerill::site
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -167,9 +167,9 @@
     Upstream.ConsecutiveFailures = 0;
     if (Ended)
       this->measureEndedRun(Upstream, *Job, Step, *Ended, Now);
-    if (Ended && !Step.LongRunning && this->Options.Policy.LearnRunTimes) {
+    if (Ended && !Step.LongRunning && this->Options.Policy.LearnRunTimes)
       this->learnRunTime(*Job, Step, *Ended, Upstream.Health.Slowdown, Now);
-    } else if (Ended && !Step.LongRunning && Step.Estimate.count() > 0) {
+    if (Ended && !Step.LongRunning && Step.Estimate.count() > 0) {
       const double Ratio = double((Now - Ended->PhaseChangedAt).count()) /
                            double(Step.Estimate.count());
       double &Factor = this->RunTimeFactors[Job->Spec.Queue.Id].Factor;
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -178,7 +178,11 @@
 
   // Fair shares (schedulerfairshares.cpp)
   /// Places the tasks of \p Waiting by fair shares.
-  void placeByFairShares(const std::vector<WaitingStep> &Waiting, Instant Now);
+  std::set<PoolId> placeByFairShares(const std::vector<WaitingStep> &Waiting,
+                                     Instant Now);
+  /// Places \p Waiting in the order of isPlacedBefore().
+  /// \returns the pools in which work waits for capacity.
+  std::set<PoolId> placeInOrder(std::vector<WaitingStep> Waiting, Instant Now);
   FairRound fairRoundOf(const std::vector<WaitingStep> &Waiting);
   /// \returns the use of \p Lane in units of its fair part.
   double useOf(const FairLane &Lane) const;
@@ -246,7 +250,7 @@
                       &ShortTasks,
                   std::map<PoolId, PoolDemand> &Demand) const;
 
-  // Speed of upstreams (schedulerspeed.cpp)
+  // Speed of upstreams and copies of slow runs (schedulerspeed.cpp)
   bool comparesSpeed() const {
     return this->Options.Policy.CompareUpstreamSpeed;
   }
@@ -267,6 +271,14 @@
   void updateHealth(Instant Now);
   /// \returns the failure domains of the runs of \p Step.
   StepSpread spreadOf(const StepRecord &Step) const;
+  /// Starts copies of runs that are much slower than forecast.
+  /// \param Short pools in which work waits for capacity; they get none.
+  void placeCopies(const std::set<PoolId> &Short, Instant Now);
+  /// \returns whether a fresh run of the task of \p Candidate on a healthy
+  /// upstream is expected to end well before it.
+  bool deservesCopy(const UpstreamRecord &Upstream, const Run &Candidate,
+                    Instant Now);
+  void placeCopy(const TaskId &Id, bool MayUseIdleVms, Instant Now);
 
   // Summary of the load (schedulerload.cpp)
   void addWorkAhead(overload::LoadSummary &Summary, Instant Now) const;
@@ -322,11 +334,12 @@
   /// answered.
   std::map<OrganisationId, Resources> PossibleInheritedUse;
   std::vector<EndedInheritedJob> EndedInheritedJobs;
-  /// Not used if SchedulingPolicy::LearnRunTimes is set.
+  /// If SchedulingPolicy::LearnRunTimes is set, used for admission only.
   std::map<QueueId, RunTimeFactor> RunTimeFactors;
   UpstreamSpeeds Speeds;
   RunTimeModel RunTimes; ///< Empty otherwise.
   std::map<QueueId, RunTimeAccuracy> Accuracies;
+  std::int64_t CopiesStarted = 0;
   std::map<OrganisationId, ShareLimiter> ShareLimiters;
   std::map<QueueId, ArrivalRateEstimator> ArrivalRates;
   /// Upper bound of the free resources on any one upstream of a pool. It is
