--- a/packages/scheduling/src/schedulerspeed.cpp
+++ b/packages/scheduling/src/schedulerspeed.cpp
@@ -156,7 +156,7 @@
   if (Candidate.StopRequested || Task->Runs.size() != 1 ||
       Task->NotBefore > Now || isSuspect(Task->Crashes))
     return false;
-  const Duration Expected = this->expectedDuration(*Job, *Step);
+  const Duration Expected = this->expectedDuration(*Job, *Step, Candidate);
   const Duration Age = Now - Candidate.PhaseChangedAt;
   const std::optional<Duration> Total =
       overdueDuration(Age, Candidate.Percent, Expected);
