A holder that is cut off from the table hands over

Change, with hand-over-when-cut-off in the policy file: after 1 s without a connection of its own it offers the lease as in a planned stop; if nobody claims it within 2 s it goes on. Daemons whose calls are relayed leave a claim to others for 0.9 s.

--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -199,6 +199,8 @@
   /// Starts the handover: the next holder may claim at any time from now on, so
   /// no more jobs are accepted.
   void beginHandover() { this->Leaving = true; }
+  /// The leaving mark was replaced in the row before another daemon claimed it.
+  void cancelHandover() { this->Leaving = false; }
   /// Marks the lease as lost: another daemon has claimed the row.
   void markSuperseded() { this->Lost = true; }
 
--- a/packages/scheduling/include/sardinerill/scheduling/schedulingpolicy.h
+++ b/packages/scheduling/include/sardinerill/scheduling/schedulingpolicy.h
@@ -20,6 +20,8 @@
   bool RefuseUnservable = false;
   /// Takes the measured speed of upstreams into account.
   bool CompareUpstreamSpeed = false;
+  /// A holder that is cut off from the table hands over to another daemon.
+  bool HandOverWhenCutOff = false;
   friend bool operator==(const SchedulingPolicy &,
                          const SchedulingPolicy &) = default;
 };
--- a/packages/scheduling/src/schedulerfairshares.cpp
+++ b/packages/scheduling/src/schedulerfairshares.cpp
@@ -79,12 +79,13 @@
   std::map<std::pair<QueueId, overload::SizeClass>,
            std::vector<overload::FairWork *>>
       Candidates;
-  for (std::size_t Index = 0; Index < Waiting.size(); ++Index)
-    if (const WaitingStep &Step = Waiting[Index];
-        countsForBalance(Step) &&
-        *Step.Job->Size != overload::SizeClass::Ordinary)
-      Candidates[{Step.Job->Spec.Queue.Id, *Step.Job->Size}].push_back(
-          &Works[Index]);
+  for (std::size_t Index = 0; Index < Waiting.size(); ++Index) {
+    const WaitingStep &Step = Waiting[Index];
+    const overload::SizeClass Size =
+        Step.Job->Size.value_or(overload::SizeClass::Ordinary);
+    if (Size != overload::SizeClass::Ordinary && countsForBalance(Step))
+      Candidates[{Step.Job->Spec.Queue.Id, Size}].push_back(&Works[Index]);
+  }
   for (auto &[Key, OfClass] : Candidates) {
     const auto Balance = this->SizeBalances.find(Key.first);
     if (Balance == this->SizeBalances.end())
@@ -194,7 +195,8 @@
     if (this->Commands.size() == CommandsBefore)
       continue; // Nothing was started, so the use is unchanged.
     if (Counts && Step.Job->Started)
-      this->SizeBalances[Step.Job->Spec.Queue.Id].started(*Step.Job->Size, Now);
+      this->SizeBalances[Step.Job->Spec.Queue.Id].started(
+          Step.Job->Size.value_or(overload::SizeClass::Ordinary), Now);
     Order.setUse(this->useOf(Round.Lanes[Round.Works[*Index].Lane]));
   }
   return Short;
--- a/packages/settings/src/policyfile.cpp
+++ b/packages/settings/src/policyfile.cpp
@@ -20,12 +20,13 @@
   bool SchedulingPolicy::*Member;
 };
 
-constexpr std::array<Switch, 5> Switches{
+constexpr std::array<Switch, 6> Switches{
     {{"divide-scarce-vms", &SchedulingPolicy::DivideScarceVms},
      {"learn-run-times", &SchedulingPolicy::LearnRunTimes},
      {"fair-shares", &SchedulingPolicy::FairShares},
      {"refuse-unservable", &SchedulingPolicy::RefuseUnservable},
-     {"compare-upstream-speed", &SchedulingPolicy::CompareUpstreamSpeed}}};
+     {"compare-upstream-speed", &SchedulingPolicy::CompareUpstreamSpeed},
+     {"hand-over-when-cut-off", &SchedulingPolicy::HandOverWhenCutOff}}};
 
 tl::unexpected<Error> invalid(const std::string &File, const YAML::Mark &Mark,
                               const std::string &Reason) {
--- a/packages/site/include/sardinerill/site/istore.h
+++ b/packages/site/include/sardinerill/site/istore.h
@@ -97,6 +97,9 @@
   /// \returns whether calls can be expected to succeed, directly or through a
   /// relay.
   virtual bool reachable() const = 0;
+  /// \returns whether calls are relayed by other daemons, because this one has
+  /// no connection of its own to the store.
+  virtual bool usesRelays() const = 0;
   /// \returns the newest version of the store that any answer has shown.
   virtual std::int64_t newestVersion() const = 0;
   /// Forwards a call of another daemon to the store unchanged.
--- a/packages/site/src/ownershipmanager.cpp
+++ b/packages/site/src/ownershipmanager.cpp
@@ -25,6 +25,9 @@
 /// have not found each other yet; it delays no jobs, as daemons start seconds
 /// before their callers.
 constexpr milliseconds NewSiteClaimDelay{3000};
+/// How long a daemon without a connection of its own to the table leaves a
+/// claim to the others.
+constexpr milliseconds RelayedClaimDelay{900};
 /// How long the others wait for the restarted process of the holder to claim.
 /// It needs no pause before it sends commands to VMs.
 constexpr milliseconds RestartedHolderDelay{500};
@@ -44,7 +47,7 @@
           .Incarnation = this->Incarnation,
           .PeerAddress = this->Deps.Settings.PeerEndpoint.str(),
           .Term = OfTerm,
-          .Leaving = this->IsLeaving,
+          .Leaving = this->IsLeaving || this->OffersLease,
           .CommandsVms =
               this->Lease && this->Lease->vmPauseIsOver(this->Deps.Clock.now()),
           .EarlierCommandsFor = std::max<Duration>(this->EarlierCommandsUntil -
@@ -58,8 +61,12 @@
       logEvent(LogLevel::Warning, "ownership.lost",
                {{"token", std::to_string(this->Lease->token())}});
       this->Lease = nullptr;
+      this->OffersLease = false;
+      this->Handover.reset();
       this->StopHolder();
     }
+    if (this->Lease)
+      this->updateVoluntaryHandover();
     if (this->Lease)
       co_await this->renew();
     else if (!this->IsLeaving)
@@ -79,9 +86,23 @@
              : this->Timeouts.PollInterval;
 }
 
+void OwnershipManager::updateVoluntaryHandover() {
+  if (!this->Deps.Settings.Policy.HandOverWhenCutOff)
+    return;
+  const bool Offered = this->Handover.update(this->Deps.Store.usesRelays(),
+                                             this->Deps.Clock.now());
+  if (Offered == std::exchange(this->OffersLease, Offered))
+    return;
+  logEvent(LogLevel::Info,
+           Offered ? "ownership.offered" : "ownership.offer_withdrawn",
+           {{"token", std::to_string(this->Lease->token())},
+            {"reason", Offered ? "no own connection to the table"
+                               : "no other daemon has claimed it"}});
+}
+
 Async<void> OwnershipManager::renew() {
   const Instant SentAt = this->Deps.Clock.now();
-  const bool SendsLeavingMark = this->IsLeaving;
+  const bool SendsLeavingMark = this->IsLeaving || this->OffersLease;
   if (SendsLeavingMark) // The next holder may claim as soon as this is sent.
     this->Lease->beginHandover();
   Transaction Change;
@@ -106,6 +127,8 @@
     this->RowVersion = Outcome->Version;
     this->Lease->recordRenewal(SentAt);
     this->LeavingStored = SendsLeavingMark;
+    if (!SendsLeavingMark)
+      this->Lease->cancelHandover();
     co_return;
   }
   for (const Row &Current : Outcome->Conflicts) {
@@ -187,6 +210,9 @@
   // Daemons with much more capacity get time to claim first.
   if (this->MayHaveLargerPeer() && !IsOwnRow)
     return this->Observer.version() == 0 ? NewSiteClaimDelay : ClaimDelay;
+  if (this->Deps.Settings.Policy.HandOverWhenCutOff &&
+      this->Deps.Store.usesRelays())
+    return RelayedClaimDelay;
   return this->Observer.holderWasRestarted() && !IsOwnRow ? RestartedHolderDelay
                                                           : milliseconds(0);
 }
--- a/packages/site/src/ownershipmanager.h
+++ b/packages/site/src/ownershipmanager.h
@@ -2,6 +2,8 @@
 
 #include "holder.h"
 
+#include "sardinerill/ownership/voluntaryhandover.h"
+
 #include "sardinerill/http/httpclient.h"
 
 /// \file
@@ -49,6 +51,8 @@
 
 private:
   Async<void> renew();
+  /// Offers the lease to other daemons, or withdraws the offer.
+  void updateVoluntaryHandover();
   Async<void> checkRow();
   Async<void> probeHolder();
   /// \returns how long this daemon leaves a claim to others that are better
@@ -75,6 +79,9 @@
   /// Set at the start of the shutdown: renewals carry the leaving mark and no
   /// claims are made.
   bool IsLeaving = false;
+  VoluntaryHandover Handover;
+  /// The lease is offered to other daemons although this one goes on running.
+  bool OffersLease = false;
   bool LeavingStored = false;
   bool RenewalFailed = false; ///< The latest renewal had no answer.
   Instant NextRenewalLog{};
--- a/packages/site/tests/fakestore.h
+++ b/packages/site/tests/fakestore.h
@@ -80,6 +80,7 @@
            (this->MaxReachableTransactions < 0 ||
             this->Transactions < this->MaxReachableTransactions);
   }
+  bool usesRelays() const override { return this->Relayed; }
   std::int64_t newestVersion() const override { return this->Version; }
   Async<HttpResponse> relay(HttpRequest) override {
     co_return HttpResponse{.Status = 503};
@@ -130,6 +131,7 @@
   std::int64_t OldVersion = 0;
   int Reads = 0;
   int OldRead = 0; ///< Number, from 1, of a read that returns the old state.
+  bool Relayed = false; ///< See usesRelays().
   std::size_t PageSize = 500;
   std::function<void()> OnRead; ///< Called at the beginning of each read.
   /// A read that returns more rows than this gets no answer, as on a slow link.
