--- a/packages/scheduling/src/schedulerfairshares.cpp
+++ b/packages/scheduling/src/schedulerfairshares.cpp
@@ -29,6 +29,10 @@
          !Waiting.Work.OverShare && Waiting.Work.CanMeetObjective;
 }
 
+overload::SizeClass sizeClassOf(const JobRecord &Job) {
+  return Job.Size.value_or(overload::SizeClass::Ordinary);
+}
+
 } // namespace
 
 double Scheduler::Impl::weightOf(const OrganisationId &Organisation) const {
@@ -81,8 +85,7 @@
       Candidates;
   for (std::size_t Index = 0; Index < Waiting.size(); ++Index) {
     const WaitingStep &Step = Waiting[Index];
-    const overload::SizeClass Size =
-        Step.Job->Size.value_or(overload::SizeClass::Ordinary);
+    const overload::SizeClass Size = sizeClassOf(*Step.Job);
     if (Size != overload::SizeClass::Ordinary && countsForBalance(Step))
       Candidates[{Step.Job->Spec.Queue.Id, Size}].push_back(&Works[Index]);
   }
@@ -179,8 +182,12 @@
   for (const FairLane &Lane : Round.Lanes)
     Uses.push_back(this->useOf(Lane));
   overload::FairOrder Order(Round.Works, std::move(Uses));
-  while (const auto Index = Order.next()) {
-    const WaitingStep &Step = Waiting[*Index];
+  while (true) {
+    const std::optional<std::size_t> Next = Order.next();
+    if (!Next)
+      break;
+    const std::size_t Index = *Next;
+    const WaitingStep &Step = Waiting[Index];
     // Saves most of the time that a round takes while the pools are full. Steps
     // that need tickets request them before there is capacity.
     if (!Step.Queue->NeedsAdvice &&
@@ -196,8 +203,8 @@
       continue; // Nothing was started, so the use is unchanged.
     if (Counts && Step.Job->Started)
       this->SizeBalances[Step.Job->Spec.Queue.Id].started(
-          Step.Job->Size.value_or(overload::SizeClass::Ordinary), Now);
-    Order.setUse(this->useOf(Round.Lanes[Round.Works[*Index].Lane]));
+          sizeClassOf(*Step.Job), Now);
+    Order.setUse(this->useOf(Round.Lanes[Round.Works[Index].Lane]));
   }
   return Short;
 }
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -103,7 +103,6 @@
                             .SchedulingEvent = this->SchedulingEvent,
                             .Stats = Deps.Stats,
                             .Evacuations = Deps.Evacuations})),
-      RunTimesStored(this->Deps.Store, this->Deps.Stats, this->Ownership),
       Publisher(std::make_shared<EvacuationPublisher>(EvacuationPublisherDeps{
           .Clock = Deps.Clock,
           .Source = Deps.Source,
@@ -111,9 +110,11 @@
           .Ownership = this->Ownership,
           .Evacuations = Deps.Evacuations,
           .Stats = Deps.Stats,
-          .HasVmIn = [Coordinator = this->Coordinator](const ZoneId &Zone) {
-            return Coordinator->hasVmIn(Zone);
-          }})) {}
+          .HasVmIn =
+              [Coordinator = this->Coordinator](const ZoneId &Zone) {
+                return Coordinator->hasVmIn(Zone);
+              }})),
+      RunTimesStored(this->Deps.Store, this->Deps.Stats, this->Ownership) {}
 
 void Holder::run() {
   const auto Self = this->shared_from_this();
