--- a/packages/overload/tests/fairorder_test.cpp
+++ b/packages/overload/tests/fairorder_test.cpp
@@ -87,7 +87,7 @@
 
 TEST_CASE("each work is returned once, whatever the use") {
   // Guards against lanes that are lost when they leave and enter the heap.
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto Count = *rc::gen::inRange<std::size_t>(0, 60);
     std::vector<FairWork> Works;
     for (std::size_t Index = 0; Index < Count; ++Index)
@@ -104,5 +104,5 @@
       return std::tuple(Works[Index].Priority, Works[Index].OverRate,
                         !Works[Index].Started);
     }));
-  });
+  }));
 }
