Lost upstreams and runs say when contact and confirmation ended

An investigation could not tell whether a run that was given up with its upstream had been accepted before or after contact with it was lost, nor whether a listing had shown it. run.lost now has listed and confirmed_ms_ago, upstream.lost has contact_lost_ms_ago. No decision changes.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -329,6 +329,12 @@
            {{"upstream", Id.str()},
             {"pool", Found->second->Report.Pool.str()},
             {"reason", std::string(Reason)},
+            {"contact_lost_ms_ago",
+             Found->second->ContactLostAt
+                 ? std::to_string(std::chrono::duration_cast<milliseconds>(
+                                      Now - *Found->second->ContactLostAt)
+                                      .count())
+                 : std::string("never")},
             {"runs", std::to_string(LostRuns.size())}});
   for (const auto &[Run, Lost] : LostRuns)
     this->Inner->loseRun(Lost, Now);
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -38,6 +38,9 @@
   bool LongRunning = false; ///< As StepSpec::LongRunning.
   Instant StartedAt{};
   Instant PhaseChangedAt{};
+  /// When the upstream last said that it runs this: it accepted the start, or
+  /// listed the run as active.
+  std::optional<Instant> ConfirmedAt;
   bool StopRequested = false;
   /// The stop only bars a start that may be carried out late. It is withdrawn
   /// if the run is found at work.
--- a/packages/scheduling/src/schedulerrestart.cpp
+++ b/packages/scheduling/src/schedulerrestart.cpp
@@ -32,6 +32,10 @@
            {{"run", describe(Lost->Id)},
             {"upstream", Lost->Upstream.str()},
             {"phase", std::string(nameOf(Lost->Phase))},
+            {"listed", Lost->Listed ? "yes" : "no"},
+            {"confirmed_ms_ago",
+             Lost->ConfirmedAt ? std::to_string(ageMs(*Lost->ConfirmedAt, Now))
+                               : std::string("never")},
             {"age_ms", std::to_string(ageMs(Lost->StartedAt, Now))}});
   this->removeRun(Lost);
   if (TaskRecord *Task = this->task(Lost->Id.Task))
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -255,6 +255,7 @@
       this->requestStop(Known);
   }
   Known->Listed = true;
+  Known->ConfirmedAt = Now;
   this->settle(Upstream, Known, Now);
   if (Listed.ProgressPercent != Known->Percent)
     Known->ProgressAt = Now;
@@ -370,6 +371,7 @@
   const RunPtr Started = Known->second;
   if (Outcome == StartOutcome::Accepted) {
     this->Inner->ZoneAnsweredAt[Upstream.Report.Zone] = Now;
+    Started->ConfirmedAt = Now;
     if (Started->Phase == RunPhase::Starting) {
       Started->Phase = RunPhase::Active;
       Started->StartKnown = true;
