Runs that the next process of an upstream accepted outlive a VM list

An upstream had started again under the same id and accepted their starts within 11 ms; 169 ms later the holder started them elsewhere.

Cause: a list of VMs that was requested after contact was lost, and that shows the VM as down, proves the end of the process that was there. It was taken for the end of all runs under that id. But an upstream without contact gets starts, the next process under the id accepts them, and the list may be applied after that: it was requested before, and the holder reads and decides on one thread.

Change: a run ends with the list if the process that did confirm it has certainly ended: confirmed 250 ms before the request, or before its connection broke. The others stay with the upstream, which gets no new tasks, until the next process answers, another list shows that there is none, or 12.5 s have passed since the start with the VM down. The link keeps such an upstream until no lease of a later process can last. Late answers of the ended process are ignored.

crashes_test.cpp: its site now lists the VMs at each step, as the holder does five times a second; no check is changed.

--- a/packages/scheduling/include/sardinerill/scheduling/commands.h
+++ b/packages/scheduling/include/sardinerill/scheduling/commands.h
@@ -10,6 +10,10 @@
 
 namespace sardinerill::site {
 
+/// Longest time from sending a command without an answer until an upstream
+/// executes it.
+constexpr seconds MaxCommandDelay{12};
+
 /// Starts a run on an upstream.
 struct StartCommand {
   UpstreamId Upstream;
--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -160,7 +160,9 @@
   void removeEndedUpstream(const UpstreamId &Id, std::string_view Reason,
                            Instant Now);
   /// Retires the upstreams whose VMs run no process or another one, according
-  /// to \p Vms. An upstream that has answered since is kept.
+  /// to \p Vms. An upstream that has answered since is kept. So are the runs
+  /// that a later process under the same id may have accepted, until it answers
+  /// or another list shows that there is none.
   /// \param RequestedAt when the list of VMs was requested.
   void retireEndedUpstreams(const std::vector<VmRecord> &Vms,
                             Instant RequestedAt, Instant Now);
@@ -177,6 +179,9 @@
   bool stopOnlyBars(const UpstreamId &Id, const RunId &Run) const;
   /// \returns whether an upstream has lost contact that may have ended.
   bool hasLostContact() const;
+  /// \returns whether the process of \p Id has ended, and the next one under
+  /// the same id may run tasks although it has not answered yet.
+  bool awaitsNextProcess(const UpstreamId &Id) const;
   /// Records that the process of \p Id ended and another one runs under the
   /// same id. Runs that the old process has listed are gone and are restarted.
   /// The new process may have accepted the others: they count until a listing
@@ -193,7 +198,7 @@
   /// although their tasks keep running.
   void setHostedUpstreams(const std::vector<VmRecord> &Vms);
   /// \returns the upstreams first reported before \p ReportedBefore that have
-  /// never answered.
+  /// never answered, without those that may run tasks of an earlier process.
   std::vector<UpstreamId> unansweredUpstreams(Instant ReportedBefore) const;
   CrashCounts crashCounts() const;
   SpeedCounts speedCounts() const;
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -230,7 +230,9 @@
 Scheduler::unansweredUpstreams(Instant ReportedBefore) const {
   std::vector<UpstreamId> Unanswered;
   for (const auto &[Id, Upstream] : this->Inner->Upstreams)
-    if (!Upstream->Answered && Upstream->ReportedAt < ReportedBefore)
+    // Runs are kept from the process that had the id before.
+    if (!Upstream->Answered && Upstream->Runs.empty() &&
+        Upstream->ReportedAt < ReportedBefore)
       Unanswered.push_back(Id);
   return Unanswered;
 }
@@ -243,8 +245,12 @@
   std::set<UpstreamId> Present;
   for (const VmRecord &Vm : Vms) {
     Present.insert(Vm.Upstream);
-    if (Vm.State == VmState::Up && !Vm.Upstream.empty())
+    if (Vm.State == VmState::Up && !Vm.Upstream.empty()) {
       HostedCapacity[Vm.Pool][Vm.Upstream] = Vm.Capacity;
+      if (const auto Hosted = this->Inner->Upstreams.find(Vm.Upstream);
+          Hosted != this->Inner->Upstreams.end())
+        Hosted->second->ListedOnVm = true;
+    }
     const auto Pool = this->Inner->Configuration.Pools.find(Vm.Pool);
     const bool IsStandby =
         Pool != this->Inner->Configuration.Pools.end() && Pool->second.Standby;
--- a/packages/scheduling/src/schedulercrashes.cpp
+++ b/packages/scheduling/src/schedulercrashes.cpp
@@ -194,23 +194,26 @@
   std::map<VmId, const VmRecord *> ById;
   for (const VmRecord &Vm : Vms)
     ById[Vm.Id] = &Vm;
-  std::vector<UpstreamId> Ended;
+  std::vector<std::pair<UpstreamId, bool>> Ended;
   for (const auto &[Id, Upstream] : this->Inner->Upstreams) {
     const auto Vm = ById.find(Upstream->Report.Vm);
     // Without a lost contact, the entry of the list may be the older one.
-    if (Vm == ById.end() ||
-        Upstream->ContactLostAt.value_or(RequestedAt) >= RequestedAt)
+    const bool LostContact =
+        Upstream->ContactLostAt.value_or(RequestedAt) < RequestedAt;
+    if (Vm == ById.end() || (!LostContact && !Upstream->ProcessEndedAt))
       continue;
     const bool OtherProcess = Vm->second->State == VmState::Up &&
                               !Vm->second->Upstream.empty() &&
                               Vm->second->Upstream != Id;
     if (Vm->second->State == VmState::Down || OtherProcess)
-      Ended.push_back(Id);
+      Ended.emplace_back(Id, OtherProcess);
   }
-  for (const UpstreamId &Id : Ended) {
+  for (const auto &[Id, OtherProcess] : Ended) {
     this->Inner->Retired[Id] = {
         this->Inner->Upstreams.at(Id)->Report.IncarnationStartMs, Now};
-    this->removeEndedUpstream(Id, "its VM does not run it any more", Now);
+    // A process with another id rejects what is sent to this one.
+    if (OtherProcess || !this->Inner->keepForNextProcess(Id, RequestedAt, Now))
+      this->removeEndedUpstream(Id, "its VM does not run it any more", Now);
   }
 }
 
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -177,6 +177,11 @@
   std::optional<Instant> ContactLostAt;
   /// Whether an open connection broke at ContactLostAt.
   bool ConnectionBroke = false;
+  /// A list of VMs has shown that its VM runs it.
+  bool ListedOnVm = false;
+  /// When its process was found to have ended, while the next one under the
+  /// same id may run what is in Runs; unset once a process answers.
+  std::optional<Instant> ProcessEndedAt;
   /// The run of a suspect, beside which nothing is started; see
   /// crashsuspects.h.
   RunPtr OnProbation;
--- a/packages/scheduling/src/schedulerrestart.cpp
+++ b/packages/scheduling/src/schedulerrestart.cpp
@@ -9,12 +9,35 @@
 /// same id.
 ///
 /// A command names only the id, so that a new process under the same id
-/// executes the starts that were sent to the old one and reach it late.
+/// executes the starts that were sent to the old one and reach it late. What
+/// proves the end of the old process proves nothing about those.
 
 namespace sardinerill::site {
 
 namespace {
 
+/// How old the state in a list of VMs may be, counted from the request.
+constexpr milliseconds MaxVmListAge{250};
+/// A start is sent within this time of the decision, or not at all.
+constexpr milliseconds MaxSendDelay{500};
+
+/// \returns whether no process runs, or may still start, \p Candidate of
+/// \p Upstream after a list requested at \p RequestedAt has shown its VM as
+/// down.
+bool hasEnded(const UpstreamRecord &Upstream, const Run &Candidate,
+              Instant RequestedAt) {
+  if (Candidate.StartedAt + MaxCommandDelay + MaxSendDelay < RequestedAt)
+    return true;
+  if (!Candidate.ConfirmedAt)
+    return false;
+  // The process that confirmed it has ended if the list shows a later state, or
+  // if its connection broke and an earlier list showed the VM as up.
+  return *Candidate.ConfirmedAt + MaxVmListAge < RequestedAt ||
+         (Upstream.ListedOnVm && Upstream.ConnectionBroke &&
+          *Candidate.ConfirmedAt <=
+              Upstream.ContactLostAt.value_or(Instant::min()));
+}
+
 std::string_view nameOf(RunPhase Phase) {
   constexpr std::array<std::string_view, 4> Names{"starting", "uncertain",
                                                   "fenced", "active"};
@@ -77,11 +100,18 @@
             {"pool", Record.Report.Pool.str()},
             {"runs_ended", std::to_string(Ended.size())},
             {"runs_kept", std::to_string(Record.Runs.size() - Ended.size())}});
+  this->Inner->replaceProcess(Record, Ended, Now);
+  Record.Report.IncarnationStartMs = IncarnationStartMs;
+  this->Inner->endGivenUpJobs(GivenUp, Id, Now);
+}
+
+void Scheduler::Impl::replaceProcess(UpstreamRecord &Record,
+                                     const std::vector<RunPtr> &Ended,
+                                     Instant Now) {
   for (const RunPtr &Each : Ended)
-    this->Inner->loseRun(Each, Now);
+    this->loseRun(Each, Now);
   UpstreamRecord Next;
   Next.Report = Record.Report;
-  Next.Report.IncarnationStartMs = IncarnationStartMs;
   Next.Report.Draining = false;
   Next.Report.ColdRemaining = {}; // The registry has that of the new process.
   // Gets no new tasks before the registry has the entry of the new process.
@@ -94,8 +124,41 @@
   Next.Used = Record.Used;
   Record = std::move(Next);
   for (const auto &[Run, Each] : Record.Runs)
-    this->Inner->keepAcrossRestart(Each, Now);
-  this->Inner->endGivenUpJobs(GivenUp, Id, Now);
+    this->keepAcrossRestart(Each, Now);
+}
+
+bool Scheduler::Impl::keepForNextProcess(const UpstreamId &Id,
+                                         Instant RequestedAt, Instant Now) {
+  UpstreamRecord &Record = *this->Upstreams.at(Id);
+  std::vector<RunPtr> Ended;
+  for (const auto &[Run, Each] : Record.Runs)
+    if (hasEnded(Record, *Each, RequestedAt))
+      Ended.push_back(Each);
+  const std::size_t Kept = Record.Runs.size() - Ended.size();
+  if (Kept == 0)
+    return false;
+  if (Record.ProcessEndedAt) {
+    for (const RunPtr &Each : Ended)
+      this->loseRun(Each, Now);
+    return true;
+  }
+  const std::vector<TaskId> GivenUp = this->attributeEnd(Record, Now);
+  logEvent(LogLevel::Warning, "upstream.ended",
+           {{"upstream", Id.str()},
+            {"pool", Record.Report.Pool.str()},
+            {"reason", "its VM is down"},
+            {"runs_ended", std::to_string(Ended.size())},
+            {"runs_kept", std::to_string(Kept)}});
+  this->replaceProcess(Record, Ended, Now);
+  Record.ProcessEndedAt = Now;
+  this->endGivenUpJobs(GivenUp, Id, Now);
+  return true;
+}
+
+bool Scheduler::awaitsNextProcess(const UpstreamId &Id) const {
+  const auto Found = this->Inner->Upstreams.find(Id);
+  return Found != this->Inner->Upstreams.end() &&
+         Found->second->ProcessEndedAt && !Found->second->Runs.empty();
 }
 
 } // namespace sardinerill::site
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -323,7 +323,7 @@
 void Scheduler::applyEndedRuns(const UpstreamId &Id,
                                const std::vector<EndedRun> &Ends, Instant Now) {
   if (const auto Found = this->Inner->Upstreams.find(Id);
-      Found != this->Inner->Upstreams.end())
+      Found != this->Inner->Upstreams.end() && !Found->second->ProcessEndedAt)
     this->Inner->applyEndedRuns(*Found->second, Ends, Now);
 }
 
@@ -333,6 +333,9 @@
   if (Found == this->Inner->Upstreams.end())
     return;
   UpstreamRecord &Upstream = *Found->second;
+  if (Upstream.ProcessEndedAt.value_or(SentAt) > SentAt)
+    return; // An answer of the process that has ended.
+  Upstream.ProcessEndedAt.reset();
   Upstream.Answered = true;
   Upstream.AnsweredAt = Now;
   Upstream.Unresponsive = false;
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -149,6 +149,16 @@
   void loseRun(const RunPtr &Lost, Instant Now);
   /// Keeps a run that the new incarnation of its upstream may run.
   void keepAcrossRestart(const RunPtr &Kept, Instant Now);
+  /// Drops \p Ended, and makes \p Record that of the next process under the
+  /// same id.
+  void replaceProcess(UpstreamRecord &Record, const std::vector<RunPtr> &Ended,
+                      Instant Now);
+  /// Keeps the runs of \p Id, whose VM is listed as down, that a later process
+  /// under the same id may have accepted, and drops the others.
+  /// \param RequestedAt when the list was requested.
+  /// \returns false, having changed nothing, if all of them have ended.
+  bool keepForNextProcess(const UpstreamId &Id, Instant RequestedAt,
+                          Instant Now);
 
   // Placement (schedulerplacement.cpp)
   std::vector<WaitingStep> waitingSteps(Instant Now, std::int64_t UnixMs);
--- a/packages/scheduling/tests/crashes_test.cpp
+++ b/packages/scheduling/tests/crashes_test.cpp
@@ -37,6 +37,10 @@
         Vm.State = VmState::Down;
         Vm.Upstream = UpstreamId();
       }
+    this->listVms();
+  }
+
+  void listVms() {
     this->JobScheduler.setHostedUpstreams(this->Vms);
     this->JobScheduler.retireEndedUpstreams(this->Vms, at(this->NowMs),
                                             at(this->NowMs));
@@ -57,6 +61,7 @@
       this->crash(Id);
       this->add(Id + "x", 8000);
     }
+    this->listVms();
     this->schedule();
     this->storeAll();
   }
--- a/packages/site/src/upstreamlease.cpp
+++ b/packages/site/src/upstreamlease.cpp
@@ -1,5 +1,7 @@
 #include "upstreamlease.h"
 
+#include "sardinerill/scheduling/commands.h"
+
 #include <algorithm>
 
 namespace sardinerill::site {
@@ -16,8 +18,6 @@
 /// Fraction of the longest allowed lease that may be requested; the rest covers
 /// upstream clocks that run fast.
 constexpr double MaxLeaseFraction = 0.97;
-/// Longest time from sending a call without an answer until it is executed.
-constexpr seconds MaxCallDelay{12};
 /// Safety margin added to the computed time of expiry.
 constexpr milliseconds ExpiryMargin{300};
 
@@ -41,7 +41,7 @@
 Duration UpstreamLease::maxTimeToExpiryAfterRestart(const SiteBounds &Bounds) {
   // On the new clock the lease may be of any length; the upstream shortens it
   // to the longest one allowed.
-  return MaxCallDelay +
+  return MaxCommandDelay +
          Duration(std::int64_t(double(Duration(Bounds.MaxLease).count()) /
                                SlowestClockRate)) +
          ExpiryMargin;
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -54,6 +54,18 @@
   return !this->Closed && !this->Context->Stopped;
 }
 
+bool UpstreamLink::haveLeasesExpired(Instant Now) {
+  if (this->Context->JobScheduler.awaitsNextProcess(this->Report.Id)) {
+    if (!this->NextProcessLeasesUntil)
+      this->NextProcessLeasesUntil =
+          Now +
+          UpstreamLease::maxTimeToExpiryAfterRestart(this->Context->Bounds);
+    if (Now < *this->NextProcessLeasesUntil)
+      return false;
+  }
+  return this->Lease.hasExpired(Now);
+}
+
 void UpstreamLink::markLost(std::string_view Reason) {
   this->Closed = true;
   this->Context->JobScheduler.removeUpstream(this->Report.Id, Reason,
@@ -83,6 +95,7 @@
   this->RestartedAt = Now;
   ++this->Restarts;
   this->UnansweredPolls = 0;
+  this->NextProcessLeasesUntil.reset();
   // Listings that were requested before may not contain what the new process
   // has accepted since.
   this->NewestListingSentAt = Now;
@@ -155,7 +168,7 @@
                {{"upstream", this->Report.Id.str()},
                 {"pool", this->Report.Pool.str()}});
     if (this->UnansweredPolls >= MaxUnansweredPolls &&
-        this->Lease.hasExpired(Now))
+        this->haveLeasesExpired(Now))
       this->markLost("no answer until its lease expired");
     return;
   }
--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -60,6 +60,9 @@
   void applyAnswer(const PollResponse &Answer, Instant SentAt,
                    Duration Timeout);
   bool isActive() const;
+  /// \returns whether all leases have expired that any process of the upstream
+  /// may have been sent.
+  bool haveLeasesExpired(Instant Now);
   void markLost(std::string_view Reason);
   /// As markLost(), for a process that has certainly ended.
   void markEnded(std::string_view Reason);
@@ -74,6 +77,9 @@
   int Restarts = 0; ///< Incarnations that have ended since it was created.
   Instant RestartedAt{};
   int UnansweredPolls = 0; ///< Consecutive polls without an answer.
+  /// Expiry of the leases of the next process, which the old one's end was
+  /// followed by.
+  std::optional<Instant> NextProcessLeasesUntil;
 };
 
 } // namespace sardinerill::site
--- a/packages/site/tests/upstreamrestart_test.cpp
+++ b/packages/site/tests/upstreamrestart_test.cpp
@@ -84,6 +84,7 @@
   UpstreamReport Report{.Id = Id,
                         .Pool = PoolId("pool"),
                         .Address = "127.0.0.1:1",
+                        .Vm = VmId("vm-u1"),
                         .IncarnationStartMs = 1,
                         .Capacity = {8000, 8000, 0}};
   std::shared_ptr<UpstreamLink> Link;
@@ -223,3 +224,33 @@
   CHECK(LostAt - RestartKnownAt > seconds(12) + milliseconds(6122));
   CHECK(LostAt - RestartKnownAt < seconds(30));
 }
+
+TEST_CASE("an upstream whose VM went down is not given up while the next "
+          "process may run what was sent to it") {
+  // The VM list fails after it has shown the VM as down, so that only leases
+  // end the wait.
+  LinkFixture Fixture;
+  Fixture.Answers.Start = StartOutcome::Unknown;
+  Fixture.Answers.StopMayAnswer = false;
+  Fixture.wait();
+  REQUIRE(Fixture.runs() == 1);
+  Fixture.Answers.Silent = true;
+  Instant LostAt{};
+  Fixture.Answers.OnPoll = [&] {
+    Fixture.Ownership.recordRenewal(Fixture.Clock.now());
+    LostAt = Fixture.Clock.now();
+  };
+  Fixture.Answers.SilentPollTime = milliseconds(500);
+  Fixture.wait();
+  const Instant DownAt = Fixture.Clock.now() + milliseconds(1);
+  Fixture.JobScheduler.retireEndedUpstreams(
+      {{.Id = Fixture.Report.Vm, .State = VmState::Down}}, DownAt, DownAt);
+  REQUIRE(Fixture.JobScheduler.awaitsNextProcess(Id));
+  Fixture.Answers.SilentPollTime = seconds(4);
+  for (int Round = 0; Round < 40 && !Fixture.Link->isClosed(); ++Round)
+    Fixture.wait(milliseconds(100));
+  CHECK(Fixture.Link->isClosed());
+  CHECK(LostAt - DownAt > seconds(12) + milliseconds(6122));
+  CHECK(LostAt - DownAt < seconds(34));
+  CHECK(Fixture.runs() == 0);
+}
