Ends of the next process are not acknowledged by old numbers

A task that an upstream had done just after it started again under its id would be started a second time (rule TWICE), as its end counts as taken note of although the holder has never seen it.

Cause: ends are numbered from 1 in each process. Polls after a failed one, and listings that were requested beside the long poll, acknowledged ends by the numbers of the process known before. The next process, which had accepted a start before the holder knew of it, forgot its first ends before it had listed them. The holder then took the run for vanished.

Change: the polling loop acknowledges only if the poll before was answered; listings that are requested in between acknowledge nothing. Ends that are listed again are ignored by their numbers, and the loop acknowledges them with its next poll.

Left: the first poll after an answered one, if the process ends and the next one begins in between, and a poll that reaches the next process late.

--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -181,10 +181,13 @@
       co_await sleepFor(RetryPause);
       continue;
     }
-    PollRequest Request{
-        .Token = this->Context->Ownership.token(),
-        .AckedSequence =
-            this->Context->JobScheduler.acknowledgedSequence(this->Report.Id)};
+    PollRequest Request{.Token = this->Context->Ownership.token()};
+    // After a failed poll, another process with the same id may answer, whose
+    // ends are numbered from 1 again and would be forgotten before it has
+    // listed them.
+    if (this->UnansweredPolls == 0)
+      Request.AckedSequence =
+          this->Context->JobScheduler.acknowledgedSequence(this->Report.Id);
     const bool Connected =
         this->Lease.clockKnown() && this->UnansweredPolls == 0;
     if (this->Lease.clockKnown() && this->UnansweredPolls < MaxUnansweredPolls)
@@ -310,10 +313,9 @@
       !this->Context->Ownership.maySendCommands(this->Context->Clock.now()))
     co_return false;
   const Instant SentAt = this->Context->Clock.now();
-  PollRequest Request{
-      .Token = this->Context->Ownership.token(),
-      .AckedSequence =
-          this->Context->JobScheduler.acknowledgedSequence(this->Report.Id)};
+  // Acknowledges nothing: another process may answer than the one to which the
+  // long poll under way was sent.
+  const PollRequest Request{.Token = this->Context->Ownership.token()};
   const PollResponse Answer =
       co_await this->Client->poll(Request, ImmediatePollTimeout);
   const bool Answered =
--- a/packages/site/tests/upstreamrestart_test.cpp
+++ b/packages/site/tests/upstreamrestart_test.cpp
@@ -21,6 +21,7 @@
   bool NextPollHangs = false;
   Duration SilentPollTime = milliseconds(500);
   std::vector<ActiveRun> Active;
+  std::vector<EndedRun> Ended; ///< Those that are acknowledged are forgotten.
   StartOutcome Start = StartOutcome::Accepted;
   bool StartMayAnswer = true;
   bool StopMayAnswer = true;
@@ -30,7 +31,7 @@
 class ScriptedClient : public IUpstreamClient {
 public:
   explicit ScriptedClient(Script &Answers) : Answers(Answers) {}
-  Async<PollResponse> poll(PollRequest, Duration) override {
+  Async<PollResponse> poll(PollRequest Request, Duration) override {
     co_await sleepFor(milliseconds(1));
     if (std::exchange(this->Answers.NextPollHangs, false)) {
       co_await sleepFor(milliseconds(100));
@@ -41,10 +42,14 @@
     this->Answers.OnPoll();
     if (this->Answers.Silent)
       co_return PollResponse{};
+    std::erase_if(this->Answers.Ended, [&](const EndedRun &Each) {
+      return Each.Sequence <= Request.AckedSequence;
+    });
     co_return PollResponse{.Outcome = PollOutcome::Answered,
                            .Listing = {.ClockMs = 1000,
                                        .IncarnationStartMs = this->Answers.Born,
-                                       .Active = this->Answers.Active}};
+                                       .Active = this->Answers.Active,
+                                       .Ended = this->Answers.Ended}};
   }
   Async<StartOutcome> start(StartCommand, std::int64_t, std::int64_t,
                             Duration) override {
@@ -254,3 +259,40 @@
   CHECK(LostAt - DownAt < seconds(34));
   CHECK(Fixture.runs() == 0);
 }
+
+TEST_CASE("ends of the new process are not acknowledged by the numbers of the "
+          "old one") {
+  // The new process counts its ends from 1 again. It forgot the end of a run
+  // that it had accepted, the task was started again, and so ran twice.
+  LinkFixture Fixture;
+  Fixture.Answers.StartMayAnswer = false;
+  Fixture.Answers.Ended = {
+      {7, RunId{{JobId("fedcba9876543210"), 0, 0, 0}, 1}, RunEnd::Done, ""}};
+  Fixture.wait();
+  REQUIRE(Fixture.JobScheduler.acknowledgedSequence(Id) == 7);
+  REQUIRE(Fixture.runs() == 1);
+  const auto Restart = [&Fixture] {
+    Fixture.Answers.StartMayAnswer = true;
+    Fixture.Answers.Born = 2;
+    Fixture.Answers.Ended = {{1, FirstRun, RunEnd::Done, ""}};
+  };
+  SUBCASE("polled again after a poll without an answer") {
+    Fixture.Answers.Silent = true;
+    Fixture.wait();
+    Restart();
+    Fixture.Answers.Silent = false;
+    Fixture.wait(milliseconds(400));
+  }
+  SUBCASE("asked for a listing while a poll to the old process hangs") {
+    Fixture.Answers.NextPollHangs = true;
+    Fixture.wait();
+    Restart();
+    Fixture.Link->send(StopCommand{Id, RunId{{JobId("other"), 0, 0, 0}, 1}});
+    Fixture.wait();
+  }
+  CHECK(Fixture.runs() == 0);
+  for (const ProgressChange &Each : Fixture.JobScheduler.takeProgress())
+    Fixture.JobScheduler.progressStored(Each.Job, Each.Revision);
+  CHECK(
+      (Fixture.JobScheduler.stateOf(FirstRun.Task.Job) == JobState::Completed));
+}
