A broken connection ends only runs that its process has listed

Cause: when a list shows the VM as down, runs that were confirmed before the connection broke counted as ended with the old process. The time kept is that at which the holder handles the break. The answer of the next process to a start may be handled before, and the state in the list may be older than the start of that process.

The new test failed before (1 of 4 assertions: the task is started on u2). After: 149 cases of scheduling_tests pass. Runs that an upstream accepted just before it crashed may be restarted one or two lists (0.2 s each) later than before.

--- a/packages/scheduling/src/schedulerrestart.cpp
+++ b/packages/scheduling/src/schedulerrestart.cpp
@@ -31,9 +31,11 @@
   if (!Candidate.ConfirmedAt)
     return false;
   // The process that confirmed it has ended if the list shows a later state, or
-  // if its connection broke and an earlier list showed the VM as up.
+  // if that process had listed it, its connection broke, and an earlier list
+  // showed the VM as up. The answer to a start may have come from the next
+  // process before the holder has noticed that the connection broke.
   return *Candidate.ConfirmedAt + MaxVmListAge < RequestedAt ||
-         (Upstream.ListedOnVm && Upstream.ConnectionBroke &&
+         (Candidate.Listed && Upstream.ListedOnVm && Upstream.ConnectionBroke &&
           *Candidate.ConfirmedAt <=
               Upstream.ContactLostAt.value_or(Instant::min()));
 }
--- a/packages/scheduling/tests/downvm_test.cpp
+++ b/packages/scheduling/tests/downvm_test.cpp
@@ -112,6 +112,30 @@
   CHECK((Site.JobScheduler.stateOf(TestJob) == JobState::Completed));
 }
 
+TEST_CASE("a start that the next process accepted before the end of the old "
+          "one was noticed is not sent elsewhere") {
+  // The connection of the long poll broke when the old process ended, but the
+  // holder handles that after the answer to the start.
+  DownVmSite Site;
+  Site.add("u1", 8000);
+  Site.submit(jobOf(TestJob.str(), {stepOf(1, 1000, 500)}));
+  Site.JobScheduler.schedule(at(Site.NowMs), Site.NowMs);
+  REQUIRE(Site.JobScheduler.takeCommands().size() == 1);
+  Site.add("u2", 8000);
+  Site.NowMs += 50;
+  Site.acceptFirstRun();
+  Site.NowMs += 10;
+  Site.JobScheduler.recordFailedPoll(FirstId, true, at(Site.NowMs));
+  Site.NowMs += 20;
+  Site.listAsDown(Site.NowMs - 10);
+  CHECK(Site.schedule().empty());
+  Site.NowMs += 10;
+  Site.registerNext();
+  Site.advance(10);
+  CHECK(Site.schedule().empty());
+  CHECK(Site.running(FirstRun.Task) == 1);
+}
+
 TEST_CASE("a start with an unknown outcome is barred at the next process "
           "before its task is started elsewhere") {
   DownVmSite Site;
