A daemon with an old configuration refuses what only it lacks

Callers got 404 for routes and 401 for keys that the configuration in force had, from daemons that reach the table through a relay: the relayed read of a change with 1,668 routes takes longer than its time limit and is begun anew.

Cause: a daemon decided by the configuration that it had read, and had no way to learn that a newer one was in force. Only a new process asked its peers, once. Ruled out: the version of the table, which small relayed answers carry; it rises with every write of any row.

Change: each answer on the peer endpoint names the version that the answering daemon has in force, which it read from the table. The decision is in ConfigurationFreshness, without I/O. A daemon that is behind answers 503 (configuration_behind, did not run, Retry-After) in place of 401, 403 and 404. For a submission it first asks the table, for 0.4 s at most, whether the job is certainly not stored, since it may have been accepted before; otherwise the answer is 504. What the older version allows is served as before.

The test "a daemon that knows of a newer configuration ..." failed with 9 of its checks (404, 401, 401 and 403 instead of 503, no Retry-After) before the change to CallerHandler and passes with it. base_tests, site_tests and adapter_tests pass with address and undefined-behaviour sanitizers. The time limit of the relayed read is unchanged.

--- a/packages/base/include/sardinerill/base/errors.h
+++ b/packages/base/include/sardinerill/base/errors.h
@@ -37,6 +37,8 @@
                        ///< the requested version; read everything again.
   JobNotFound,
   QueueUnknown,
+  ConfigurationBehind, ///< Not known here, but a newer configuration than this
+                       ///< daemon has read is in force.
   UpstreamUnreachable, ///< Not connected, nothing sent, or work not accepted.
   UpstreamFailed,      ///< Error response, or lost while sending the request.
   UpstreamTimeout,     ///< No complete response within the run limit.
--- a/packages/base/src/errors.cpp
+++ b/packages/base/src/errors.cpp
@@ -53,6 +53,8 @@
     {JobNotFound, "job_not_found", 410, DidNotRun, Never, "No such job"},
     {QueueUnknown, "queue_unknown", 404, DidNotRun, AfterChange,
      "No such queue"},
+    {ConfigurationBehind, "configuration_behind", 503, DidNotRun, Later,
+     "This entry VM has not read the newest configuration yet"},
     {UpstreamUnreachable, "upstream_unreachable", 502, DidNotRun, Later,
      "No upstream could be reached"},
     {UpstreamFailed, "upstream_failed", 502, MayHaveRun, WithSameKey,
--- a/packages/site/include/sardinerill/site/istore.h
+++ b/packages/site/include/sardinerill/site/istore.h
@@ -4,6 +4,7 @@
 #include "sardinerill/http/httptypes.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,11 @@
   int Limit = 0; ///< Rows of one page; 0: as many as the table returns.
 };
 
+/// Called with the answers of a peer, which name the version of its
+/// configuration.
+using PeerAnswerObserver =
+    std::function<void(const Endpoint &Peer, const HttpResponse &Answer)>;
+
 /// Errors: PlatformUnavailable if the call certainly had no effect, otherwise
 /// PlatformOutcomeUnknown. waitForChanges() alone may return
 /// PlatformHistoryGone, when the changes after the requested version are no
@@ -94,6 +100,8 @@
   /// Sets the daemons that can relay calls while the store is not directly
   /// reachable from this one.
   virtual void setRelays(std::vector<Endpoint> Relays) = 0;
+  /// Sets the function that is called with each answer of a relay.
+  virtual void setRelayObserver(PeerAnswerObserver OnAnswer) = 0;
   /// \returns whether calls can be expected to succeed, directly or through a
   /// relay.
   virtual bool reachable() const = 0;
--- a/packages/site/src/callerhandler.cpp
+++ b/packages/site/src/callerhandler.cpp
@@ -18,6 +18,9 @@
 /// Nothing is refused on an older summary: within this time a peak begins or
 /// ends.
 constexpr seconds MaxLoadAge{2};
+/// Limit of the check whether a job may be stored that a daemon refuses because
+/// its configuration is old: the caller should try another daemon soon.
+constexpr milliseconds AbsenceCheckTimeout{400};
 /// Retry delay sent to callers while the system starts or stops.
 constexpr milliseconds RetryAfter{1000};
 
@@ -41,6 +44,13 @@
   return Job.Progress ? JobState::Running : JobState::Queued;
 }
 
+/// \returns whether \p Kind states that the configuration does not allow a
+/// call.
+bool dependsOnConfiguration(ErrorKind Kind) {
+  const int Status = errorResponseFor(Kind).HttpStatus;
+  return Status == 401 || Status == 403 || Status == 404;
+}
+
 /// Notifies the holder of \p Change and takes in the load that it answers with.
 Async<void> notifyAndUpdate(std::shared_ptr<HolderClient> Client,
                             std::shared_ptr<HolderLoad> Load,
@@ -109,7 +119,28 @@
   return Admitted;
 }
 
+Async<Error> CallerHandler::errorWhileBehind(const CallerCall &Call,
+                                             Error ByOlder,
+                                             std::int64_t Newer) {
+  std::string Detail =
+      "version " + std::to_string(Newer) +
+      " is in force elsewhere; by the older one: " + ByOlder.Detail;
+  // A submission that is refused must not be one that was accepted before.
+  if (Call.Kind == CallKind::Submit) {
+    const Duration Limit = std::min<Duration>(
+        Call.Timeout.value_or(AbsenceCheckTimeout), AbsenceCheckTimeout);
+    const bool IsAbsent = co_await this->Deps.Jobs.isCertainlyAbsent(
+        JobId(lastSegment(Call.Path)), this->Deps.Clock.now() + Limit);
+    if (!IsAbsent)
+      co_return Error{ErrorKind::PlatformOutcomeUnknown, std::move(Detail)};
+  }
+  co_return Error{ErrorKind::ConfigurationBehind, std::move(Detail),
+                  RetryAfter};
+}
+
 Async<Result<CallerReply>> CallerHandler::handle(CallerCall Call) {
+  // Asked first as well, since the newer version may arrive during the call.
+  std::optional<std::int64_t> Newer = this->Deps.NewerVersion();
   Result<AdmittedCall> Admitted = this->admit(Call);
   Result<CallerReply> Reply =
       makeError(ErrorKind::BadRequest,
@@ -125,6 +156,11 @@
     Reply = co_await this->cancel(std::move(*Admitted));
   else if (Call.Kind == CallKind::Pending)
     Reply = co_await this->pending(std::move(*Admitted));
+  if (!Newer)
+    Newer = this->Deps.NewerVersion();
+  if (!Reply && Newer && dependsOnConfiguration(Reply.error().Kind))
+    Reply = tl::unexpected(
+        co_await this->errorWhileBehind(Call, Reply.error(), *Newer));
   if (!Reply) {
     this->Deps.Stats.countRefusal(Reply.error().Kind);
     const SiteConfiguration *InForce = this->Deps.Configuration();
@@ -202,8 +238,8 @@
     return nullptr;
   if (!this->HolderConnection ||
       this->HolderConnection->endpoint() != HolderAddress) {
-    this->HolderConnection =
-        std::make_shared<HolderClient>(this->Deps.Executor, HolderAddress);
+    this->HolderConnection = std::make_shared<HolderClient>(
+        this->Deps.Executor, HolderAddress, this->Deps.OnHolderAnswer);
     this->RemoteLoad = std::make_shared<HolderLoad>();
   }
   return this->HolderConnection.get();
--- a/packages/site/src/callerhandler.h
+++ b/packages/site/src/callerhandler.h
@@ -22,6 +22,9 @@
   JobDecoder DecodeJob;
   /// \returns the current configuration, or null before the first one was read.
   std::function<const SiteConfiguration *()> Configuration;
+  /// \returns the version that is in force elsewhere, if it is newer than that
+  /// of the current configuration.
+  std::function<std::optional<std::int64_t>()> NewerVersion;
   /// \returns when the last reply must be sent, because the process exits.
   std::function<Instant()> LatestReply;
   /// \returns the state if this daemon is the holder, has loaded all jobs, may
@@ -37,6 +40,7 @@
   /// \returns the peer endpoint of the holder; not valid if it is unknown or is
   /// this daemon.
   std::function<Endpoint()> HolderEndpoint;
+  PeerAnswerObserver OnHolderAnswer = nullptr; ///< May be empty.
 };
 
 /// The newest load summary of a holder in another daemon.
@@ -67,6 +71,10 @@
     Instant Deadline{};
   };
   Result<AdmittedCall> admit(const CallerCall &Call) const;
+  /// \returns the error for a call that the current configuration refuses with
+  /// \p ByOlder while \p Newer is in force elsewhere.
+  Async<Error> errorWhileBehind(const CallerCall &Call, Error ByOlder,
+                                std::int64_t Newer);
   Async<Result<CallerReply>> submit(AdmittedCall Admitted, std::string Body);
   Async<Result<CallerReply>> stateOf(AdmittedCall Admitted);
   Async<Result<CallerReply>> cancel(AdmittedCall Admitted);
--- a/packages/site/src/peerapi.cpp
+++ b/packages/site/src/peerapi.cpp
@@ -19,6 +19,8 @@
 constexpr std::string_view QueuePath = "/queues/";
 constexpr std::string_view RelayPath = "/relay/";
 constexpr std::string_view MetricsPath = "/metrics";
+/// Header of all answers; see announcedConfigurationVersion().
+constexpr std::string_view VersionHeader = "Configuration-Version";
 constexpr std::string_view DirectoryTable = "daemons";
 constexpr std::string_view DirectoryPartition = "d";
 /// Interval between the first reads of the list of daemons, while others may
@@ -72,15 +74,29 @@
   return Valid ? std::optional(Version) : std::nullopt;
 }
 
+std::string announcedConfigurationVersion(const HttpResponse &Answer) {
+  return HttpRequest{.Headers = Answer.Headers}.header(VersionHeader);
+}
+
 HttpRequest handoverRequest() {
   return makeRequest("POST", std::string(ReleasedPath));
 }
 
-HolderClient::HolderClient(boost::asio::any_io_executor Executor, Endpoint Peer)
-    : Http(Executor, {.Peer = std::move(Peer), .MaxIdleConnections = 4}) {}
+HolderClient::HolderClient(boost::asio::any_io_executor Executor, Endpoint Peer,
+                           PeerAnswerObserver OnAnswer)
+    : Http(Executor, {.Peer = std::move(Peer), .MaxIdleConnections = 4}),
+      OnAnswer(std::move(OnAnswer)) {}
+
+Async<tl::expected<HttpResponse, HttpCallError>>
+HolderClient::call(HttpRequest Request, Duration Timeout) {
+  auto Answer = co_await this->Http.call(std::move(Request), Timeout);
+  if (Answer && this->OnAnswer)
+    this->OnAnswer(this->Http.peer(), *Answer);
+  co_return Answer;
+}
 
 Async<Result<JobState>> HolderClient::stateOf(JobId Job, Duration Timeout) {
-  const auto Answer = co_await this->Http.call(
+  const auto Answer = co_await this->call(
       makeRequest("GET", std::string(JobPath) + Job.str()), Timeout);
   if (Answer && Answer->Status == 404)
     co_return makeError(ErrorKind::JobNotFound,
@@ -94,7 +110,7 @@
 }
 
 Async<Result<int>> HolderClient::pendingJobs(QueueId Queue, Duration Timeout) {
-  const auto Answer = co_await this->Http.call(
+  const auto Answer = co_await this->call(
       makeRequest("GET", std::string(QueuePath) + Queue.str()), Timeout);
   const auto Count = Answer && Answer->Status == 200 ? parseNumber(Answer->Body)
                                                      : std::nullopt;
@@ -108,12 +124,14 @@
                                               Duration Timeout) {
   HttpRequest Notice = makeRequest("POST", std::string(ChangePath));
   Notice.Body = std::move(Change);
-  auto Answer = co_await this->Http.call(std::move(Notice), Timeout);
+  auto Answer = co_await this->call(std::move(Notice), Timeout);
   co_return Answer && Answer->Status == 200 ? std::move(Answer->Body)
                                             : std::string();
 }
 
-Async<HttpResponse> handlePeerRequest(const PeerApiDeps &Deps,
+namespace {
+
+Async<HttpResponse> answerPeerRequest(const PeerApiDeps &Deps,
                                       HttpRequest Request) {
   const std::string_view Target = Request.Target;
   if (Target == AlivePath)
@@ -159,6 +177,17 @@
                          .Body = std::to_string(static_cast<int>(*State))};
 }
 
+} // namespace
+
+Async<HttpResponse> handlePeerRequest(const PeerApiDeps &Deps,
+                                      HttpRequest Request) {
+  HttpResponse Answer = co_await answerPeerRequest(Deps, std::move(Request));
+  if (const std::int64_t Version = Deps.ConfigurationVersion(); Version > 0)
+    Answer.Headers.push_back(
+        {std::string(VersionHeader), std::to_string(Version)});
+  co_return Answer;
+}
+
 Async<bool> PeerDirectory::registerSelf() {
   Transaction Change;
   Change.Writes.push_back(
--- a/packages/site/src/peerapi.h
+++ b/packages/site/src/peerapi.h
@@ -24,13 +24,19 @@
 std::optional<std::int64_t>
 decodeConfigurationVersion(const HttpResponse &Answer);
 
+/// \returns the version of the configuration that the answering daemon uses, as
+/// its answer names it; empty if it names none.
+std::string announcedConfigurationVersion(const HttpResponse &Answer);
+
 /// Asks for the evacuations that a daemon knows of.
 HttpRequest evacuationsRequest();
 
 /// Client for the holder's peer API.
 class HolderClient {
 public:
-  HolderClient(boost::asio::any_io_executor Executor, Endpoint Peer);
+  /// \param OnAnswer called with each answer; may be empty.
+  HolderClient(boost::asio::any_io_executor Executor, Endpoint Peer,
+               PeerAnswerObserver OnAnswer);
 
   /// \returns the state, JobNotFound if the holder does not have the job, or
   /// PlatformUnavailable if the holder gave no valid answer.
@@ -44,7 +50,11 @@
   const Endpoint &endpoint() const { return this->Http.peer(); }
 
 private:
+  Async<tl::expected<HttpResponse, HttpCallError>> call(HttpRequest Request,
+                                                        Duration Timeout);
+
   HttpClient Http;
+  PeerAnswerObserver OnAnswer;
 };
 
 /// Objects and callbacks of the daemon that the peer API uses.
@@ -67,7 +77,8 @@
   std::function<std::string()> RenderMetrics;
 };
 
-/// Handles a request from a peer or from a metrics collector.
+/// Handles a request from a peer or from a metrics collector. The answer names
+/// the version of the configuration in use, if there is one.
 Async<HttpResponse> handlePeerRequest(const PeerApiDeps &Deps,
                                       HttpRequest Request);
 
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -1,6 +1,7 @@
 #include "sardinerill/site/sitedaemon.h"
 
 #include "callerhandler.h"
+#include "configurationfreshness.h"
 #include "holder.h"
 #include "ownershipmanager.h"
 #include "peerapi.h"
@@ -38,6 +39,8 @@
 /// A delay of the event loop above this is logged.
 constexpr milliseconds MaxLoopLag{250};
 constexpr seconds LagLogInterval{1};
+/// Shortest time between two log lines on rejected versions of peers.
+constexpr seconds RejectedVersionLogInterval{1};
 constexpr seconds SettingsInterval{5};
 /// All daemons of a new site start within 0.3 s of each other, so the second
 /// read of their list is complete.
@@ -77,6 +80,10 @@
                ? &*this->Configuration
                : nullptr;
   }
+  /// Takes in the version of the configuration that \p Answer names.
+  void recordPeerAnswer(const Endpoint &Peer, const HttpResponse &Answer);
+  /// Takes in that the table has answered a read sent at \p SentAt.
+  void recordTableAnswer(Instant SentAt);
   /// Measures how late the event loop runs what is due.
   Async<void> watchLoopLag();
   PeerApiDeps peerApiDeps();
@@ -98,6 +105,8 @@
   std::shared_ptr<Holder> LocalHolder;
   std::optional<SiteConfiguration> Configuration;
   StartupConfiguration Startup;
+  ConfigurationFreshness Freshness;
+  Instant NextRejectedVersionLog{};
   std::vector<MaintenanceWave> Waves;
   bool Stopping = false;
   Instant ExitAt = Instant::max(); ///< Set by a planned stop.
@@ -128,6 +137,10 @@
       Signals(Context, SIGTERM, SIGINT, SIGHUP), PeerDeps(this->peerApiDeps()) {
   this->Ownership.setLargerPeerCheck(
       [this] { return this->Directory.mayHaveLargerPeer(); });
+  this->Adapters.Store->setRelayObserver(
+      [this](const Endpoint &Peer, const HttpResponse &Answer) {
+        this->recordPeerAnswer(Peer, Answer);
+      });
 }
 
 SiteDeps SiteDaemon::State::siteDeps() {
@@ -153,6 +166,11 @@
       .Stats = *this->Stats,
       .DecodeJob = this->Adapters.DecodeJob,
       .Configuration = [this] { return this->usableConfiguration(); },
+      .NewerVersion = [this]() -> std::optional<std::int64_t> {
+        return this->Freshness.isBehind(this->Clock.now())
+                   ? std::optional(this->Freshness.newestVersion())
+                   : std::nullopt;
+      },
       .LatestReply = [this] { return this->ExitAt; },
       .LocalState = [this](const JobId &Job) -> std::optional<JobState> {
         return this->isActiveHolder() ? this->LocalHolder->stateOf(Job)
@@ -179,6 +197,10 @@
             const OwnershipRow &Row = this->Ownership.row();
             const bool Own = Row.Incarnation == this->Incarnation;
             return Own ? Endpoint() : Endpoint::parse(Row.PeerAddress);
+          },
+      .OnHolderAnswer =
+          [this](const Endpoint &Peer, const HttpResponse &Answer) {
+            this->recordPeerAnswer(Peer, Answer);
           }};
 }
 
@@ -278,6 +300,8 @@
   HttpClient Client(this->Context.get_executor(), {.Peer = Peer});
   const auto Answer =
       co_await Client.call(evacuationsRequest(), PeerQuestionTimeout);
+  if (Answer)
+    this->recordPeerAnswer(Peer, *Answer);
   if (!Answer || Answer->Status != 200)
     co_return; // It has not read the rows itself, or is of an older version.
   const auto States = decodeEvacuations(Answer->Body);
@@ -307,6 +331,7 @@
     return;
   this->Configuration = Snapshot.Configuration;
   this->Startup.recordRead(this->Configuration->Version);
+  this->Freshness.recordInForce(this->Configuration->Version);
   logEvent(LogLevel::Info, "configuration.in_force",
            {{"version", std::to_string(this->Configuration->Version)},
             {"queues", std::to_string(this->Configuration->Queues.size())}});
@@ -341,6 +366,9 @@
           *Snapshot, OperatorRowsAge::answerTime(SentAt, Wait, Unchanged,
                                                  this->Clock.now()));
       this->applyConfiguration(*Snapshot);
+      // A row that can't be decoded may be a newer configuration.
+      if (Snapshot->SkippedRows == 0)
+        this->recordTableAnswer(SentAt);
       Version = std::max(Version, Snapshot->Version);
       if (this->Startup.needsNewerRead())
         Version = -1; // The table serves an old configuration.
@@ -410,9 +438,11 @@
             HttpClient Client(this->Context.get_executor(), {.Peer = Peer});
             const auto Answer = co_await Client.call(
                 configurationVersionRequest(), PeerQuestionTimeout);
-            if (Answer)
+            if (Answer) {
+              this->recordPeerAnswer(Peer, *Answer);
               this->Startup.recordPeer(
                   decodeConfigurationVersion(*Answer).value_or(0));
+            }
             --Pending;
           });
   Pending += Asked.size();
@@ -439,6 +469,33 @@
   this->Startup.giveUp();
 }
 
+void SiteDaemon::State::recordPeerAnswer(const Endpoint &Peer,
+                                         const HttpResponse &Answer) {
+  const std::string Announced = announcedConfigurationVersion(Answer);
+  const Instant Now = this->Clock.now();
+  const PeerVersionKind Kind = this->Freshness.recordPeerAnswer(Announced, Now);
+  if (Kind == PeerVersionKind::Newer)
+    logEvent(LogLevel::Info, "configuration.newer_at_peer",
+             {{"peer", Peer.str()}, {"peer_version", Announced}});
+  if (Kind != PeerVersionKind::Rejected)
+    return;
+  this->Stats->count("configuration_peer_versions_rejected_total");
+  if (Now < this->NextRejectedVersionLog)
+    return;
+  this->NextRejectedVersionLog = Now + RejectedVersionLogInterval;
+  logEvent(LogLevel::Warning, "configuration.peer_version_rejected",
+           {{"peer", Peer.str()}, {"peer_version", Announced}});
+}
+
+void SiteDaemon::State::recordTableAnswer(Instant SentAt) {
+  if (!this->Freshness.recordTableAnswer(SentAt))
+    return;
+  this->Stats->count("configuration_peer_versions_rejected_total");
+  logEvent(
+      LogLevel::Warning, "configuration.peer_version_disproved",
+      {{"peer_version", std::to_string(this->Freshness.disprovedVersion())}});
+}
+
 Async<void> SiteDaemon::State::watchLoopLag() {
   Instant NextLog{};
   while (true) {
--- a/packages/site/tests/callerhandler_test.cpp
+++ b/packages/site/tests/callerhandler_test.cpp
@@ -44,6 +44,7 @@
                                               .Pool = PoolId("pool"),
                                               .CallTimeout = seconds(5),
                                               .Public = true}}};
+  std::optional<std::int64_t> NewerVersion;
   std::shared_ptr<const overload::LoadSummary> Load = loadOf(1000);
   CallerHandler Handler;
 
@@ -55,6 +56,7 @@
              .Stats = Stats,
              .DecodeJob = decodeBody,
              .Configuration = [this] { return &this->Configuration; },
+             .NewerVersion = [this] { return this->NewerVersion; },
              .LatestReply = [] { return Instant::max(); },
              .LocalState = [](const JobId &) { return std::nullopt; },
              .LocalPendingJobs = [](const QueueId &) { return std::nullopt; },
@@ -63,6 +65,11 @@
              .RefuseUnservable = RefuseUnservable,
              .HolderEndpoint = [] { return Endpoint(); }}) {}
 
+  Result<CallerReply> call(CallerCall Call) {
+    return runToEnd<Result<CallerReply>>(
+        this->Context, [&] { return this->Handler.handle(Call); });
+  }
+
   Result<CallerReply> submit(const std::string &Id,
                              const std::string &Body = "body") {
     return runToEnd<Result<CallerReply>>(this->Context, [&, Id, Body] {
@@ -160,3 +167,68 @@
   CHECK_FALSE(Load.update("{}", At(6200)));
   CHECK_FALSE(Load.at(At(6200)));
 }
+
+TEST_CASE("a daemon that knows of a newer configuration refuses what its own "
+          "does not have") {
+  // Guards against 404, 401 and 403 for routes and keys that the configuration
+  // in force has, while a daemon is still reading it.
+  CallerFixture Fixture;
+  Fixture.Load = nullptr;
+  Fixture.Configuration.Queues.push_back({.Id = QueueId("keyed"),
+                                          .Host = "host",
+                                          .PathPrefix = "/k/",
+                                          .Pool = PoolId("pool"),
+                                          .CallTimeout = seconds(5)});
+  Fixture.Configuration.Organisations = {
+      {.Id = OrganisationId("a"), .Keys = {"key-a"}},
+      {.Id = OrganisationId("b"), .Keys = {"key-b"}}};
+  const std::string Id = "0123456789abcdef";
+  const CallerCall Owned{.Kind = CallKind::Submit,
+                         .Host = "host",
+                         .Path = "/k/" + Id,
+                         .ApiKey = "key-a",
+                         .Body = "body"};
+  REQUIRE(Fixture.call(Owned));
+  CallerCall NoQueue = Owned;
+  NoQueue.Path = "/new/0000000000000001";
+  CallerCall NoKey = Owned;
+  NoKey.Path = "/k/0000000000000002";
+  NoKey.ApiKey = "";
+  CallerCall NewKey = NoKey;
+  NewKey.ApiKey = "key-c";
+  CallerCall OtherOwner = Owned;
+  OtherOwner.Kind = CallKind::Cancel;
+  OtherOwner.ApiKey = "key-b";
+  const auto StoredRows = Fixture.Store.Rows;
+  for (const auto &[Call, Status] :
+       {std::pair(NoQueue, 404), std::pair(NoKey, 401), std::pair(NewKey, 401),
+        std::pair(OtherOwner, 403)}) {
+    Fixture.NewerVersion = std::nullopt;
+    const auto Refused = Fixture.call(Call);
+    REQUIRE_FALSE(Refused);
+    CHECK(errorResponseFor(Refused.error().Kind).HttpStatus == Status);
+    Fixture.NewerVersion = 32;
+    const auto Behind = Fixture.call(Call);
+    REQUIRE_FALSE(Behind);
+    const ErrorResponse &Response = errorResponseFor(Behind.error().Kind);
+    CHECK(Response.HttpStatus == 503);
+    CHECK((Response.Execution == ExecutionState::DidNotRun));
+    CHECK(Behind.error().RetryAfter);
+  }
+  CHECK((Fixture.Store.Rows == StoredRows));
+  CHECK(Fixture.Stats.renderPrometheus().find(
+            "refusals_total{reason=\"configuration_behind\"} 4") !=
+        std::string::npos);
+  // A job that is, or may be, stored is not reported as one that never runs.
+  CallerCall Repeated = Owned;
+  Repeated.ApiKey = "key-c";
+  const auto Unknown = Fixture.call(Repeated);
+  REQUIRE_FALSE(Unknown);
+  CHECK((Unknown.error().Kind == ErrorKind::PlatformOutcomeUnknown));
+  Fixture.Store.Faults = {CallFault::Lost};
+  const auto Unchecked = Fixture.call(NewKey);
+  REQUIRE_FALSE(Unchecked);
+  CHECK((Unchecked.error().Kind == ErrorKind::PlatformOutcomeUnknown));
+  // What the older version has is served as before.
+  CHECK(Fixture.submit("fedcba9876543210"));
+}
--- a/packages/site/tests/fakestore.h
+++ b/packages/site/tests/fakestore.h
@@ -75,6 +75,7 @@
   }
 
   void setRelays(std::vector<Endpoint>) override {}
+  void setRelayObserver(PeerAnswerObserver) override {}
   bool reachable() const override {
     return this->Reachable &&
            (this->MaxReachableTransactions < 0 ||
--- a/packages/site/tests/peerevacuations_test.cpp
+++ b/packages/site/tests/peerevacuations_test.cpp
@@ -16,7 +16,9 @@
   ZoneEvacuations Known;
   bool Informed = false;
   const PeerApiDeps Deps{
-      .Store = Store, .Evacuations = [&]() -> std::optional<std::string> {
+      .Store = Store,
+      .ConfigurationVersion = [] { return 0; },
+      .Evacuations = [&]() -> std::optional<std::string> {
         return Informed ? std::optional(encodeEvacuations(Known.known()))
                         : std::nullopt;
       }};
