A successor waits for VM commands sent after a withdrawn offer

Cause: a claimant takes the VM commands of its predecessor to have ended when it first read the leaving mark of that process. A holder that withdraws its offer commands VMs again, but the time of the first mark was kept for the life of the process.

Ruled out: the holder. It sends nothing to VMs from before the mark is stored until a renewal without it is confirmed.

Change: a row without the mark ends the time, and so does a gap in the reads above MaxReadGap (1.2 s), behind which an offer may have been withdrawn and made again: there are at least 5 s between two offers.

--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -176,7 +176,7 @@
   Instant FirstSeenAt{};
   /// Upper bound for the commands of holders before the one in the row.
   Instant BeforePredecessorUntil{};
-  /// When the current holder was first read as leaving.
+  /// Since when reads have shown the current holder as leaving.
   std::optional<Instant> LeavingSeenAt;
   /// Since when reads with no gap above MaxReadGap have shown the same version.
   Instant UnchangedSince{};
--- a/packages/ownership/src/ownership.cpp
+++ b/packages/ownership/src/ownership.cpp
@@ -66,7 +66,12 @@
     this->HolderEnded = false;
     this->LeavingSeenAt.reset();
   }
-  if ((ReadRow.Leaving || ReadRow.Released) && !this->LeavingSeenAt)
+  const bool Ends = ReadRow.Leaving || ReadRow.Released;
+  // A holder that has withdrawn its notice commands VMs again. A longer gap may
+  // hide that it did, and gave notice anew.
+  if (Changed && (!Ends || GapTooLong))
+    this->LeavingSeenAt.reset();
+  if (Ends && !this->LeavingSeenAt)
     this->LeavingSeenAt = RepliedAt;
   if (Changed) {
     this->Contact = HolderContact::Unknown;
--- a/packages/ownership/tests/decisions_test.cpp
+++ b/packages/ownership/tests/decisions_test.cpp
@@ -57,6 +57,29 @@
   }
 }
 
+TEST_CASE(
+    "a holder that has withdrawn its notice to leave commands VMs again") {
+  // Guards against commands of two holders to one VM within the pause: the
+  // successor took the holder's commands to have ended with its first notice.
+  OwnershipObserver Observer{Timings};
+  OwnershipRow Leaving = Row;
+  Leaving.Leaving = true;
+  Observer.observe(7, Leaving, at(0), at(5));
+  SUBCASE("a read shows that it was withdrawn") {
+    for (int Ms = 500; Ms <= 6000; Ms += 500)
+      Observer.observe(8, Row, at(Ms), at(Ms + 5));
+    REQUIRE(Observer.mayClaim()); // It does not renew any more.
+    CHECK(Observer.vmCommandsFrom("b", Pause) ==
+          at(505) + Timings.VmCommandWindow + Timings.VmCommandDelivery +
+              Pause);
+  }
+  SUBCASE("no read shows it, only the next notice") {
+    Observer.observe(30, Leaving, at(9000), at(9005));
+    CHECK(Observer.vmCommandsFrom("b", Pause) ==
+          at(9005) + Timings.VmCommandDelivery + Pause);
+  }
+}
+
 TEST_CASE("a renewal makes an earlier failure to reach the holder void") {
   // Guards against claiming the row of a holder that has just renewed it.
   OwnershipObserver Observer{Timings};
