An offered lease goes only to daemons that are suited to it

What was seen: on a site of 37 daemons a holder that was cut off offered its lease. A daemon of 0.12 of a core and 10 Mbit/s claimed it, took 6.8 s to load 1,523 jobs, could not renew, claimed again over itself, had no connection of its own and offered in turn. Nothing started for 11 s.

Cause: an offer is stored as the leaving mark of a planned stop, so that any daemon may claim it at once, however weak and however connected, and only a larger peer delays it. And a new holder offers as soon as its calls have been relayed for 1 s, whenever it claimed.

Ruled out: that the offering holder stops. It renews, keeps its token and sends commands for the jobs that it has accepted; it accepts no new ones and commands no VMs, which its successor relies on. The offer did end after 2 s and was not repeated for 5 s; both are unchanged.

Change: the row of an offer has the holder's capacity. It is claimed only by a daemon that has at least this capacity and its own connection to the table, checked again after the pause that spreads claims. If the holder falls silent or its process ends, the row is claimed as before, also by weak daemons. A holder does not offer within 5 s of its claim, except for the first of a site with its own connection. Older builds ignore the new field; their offers and planned stops have none and are claimed by any daemon. Token and waiting times are unchanged.

voluntaryhandover_test.cpp: reset() is now beginTerm(); the case also checks when the next offer begins.

Before (each decision put back to what it was): any daemon takes an offer: three cases and the property of ownership_tests (after 9 tests) fail, and two of three cases of "left to daemons that are suited" (site_tests); no back-off after a claim: 12 claims in 20 s between two daemons, at most 6 expected. Without the end of an offer, and without the claim of a silent holder's offer, a case each fails too.

--- a/packages/ownership/include/sardinerill/ownership/ownership.h
+++ b/packages/ownership/include/sardinerill/ownership/ownership.h
@@ -2,6 +2,7 @@
 
 #include "sardinerill/base/clock.h"
 #include "sardinerill/base/errors.h"
+#include "sardinerill/ownership/voluntaryhandover.h"
 
 #include <cstdint>
 #include <optional>
@@ -33,6 +34,10 @@
   /// The holder hands over: it stays active until the next holder claims the
   /// row.
   bool Leaving = false;
+  /// Capacity of a holder that only offers its lease (Leaving is set too) and
+  /// works on if nobody takes it. None if it stops, and in rows of builds that
+  /// did not store it.
+  std::optional<double> OfferingCapacity;
   /// The holder has released the lease and sends no more commands.
   bool Released = false;
   /// The holder may send commands to VMs: the pause after the commands of
@@ -136,8 +141,10 @@
   /// another one.
   bool holderWasRestarted() const { return this->HolderEnded; }
 
-  /// \returns whether the row may be claimed now.
-  bool mayClaim() const;
+  /// \returns whether \p Daemon may claim the row now. What it is only matters
+  /// if the lease is offered; a holder that offers and falls silent is
+  /// succeeded like any other.
+  bool mayClaim(const Claimant &Daemon = {}) const;
   /// \returns whether the previous holder may still send commands.
   PredecessorState predecessorState() const;
   /// \returns an upper bound for the end of the previous holder's lease.
--- a/packages/ownership/src/ownership.cpp
+++ b/packages/ownership/src/ownership.cpp
@@ -17,31 +17,38 @@
 } // namespace
 
 std::string encodeOwnership(const OwnershipRow &Row) {
-  return json{{"holder", Row.Holder},
-              {"incarnation", Row.Incarnation},
-              {"address", Row.PeerAddress},
-              {"term", Row.Term},
-              {"leaving", Row.Leaving},
-              {"released", Row.Released},
-              {"commands_vms", Row.CommandsVms},
-              {"earlier_commands_ms", wholeMillis(Row.EarlierCommandsFor)}}
-      .dump();
+  json Encoded{{"holder", Row.Holder},
+               {"incarnation", Row.Incarnation},
+               {"address", Row.PeerAddress},
+               {"term", Row.Term},
+               {"leaving", Row.Leaving},
+               {"released", Row.Released},
+               {"commands_vms", Row.CommandsVms},
+               {"earlier_commands_ms", wholeMillis(Row.EarlierCommandsFor)}};
+  if (Row.OfferingCapacity)
+    Encoded["offering_capacity"] = *Row.OfferingCapacity;
+  return Encoded.dump();
 }
 
 Result<OwnershipRow> decodeOwnership(const std::string &Text) {
   try {
     const json Read = json::parse(Text);
-    return OwnershipRow{.Holder = Read.at("holder"),
-                        .Incarnation = Read.at("incarnation"),
-                        .PeerAddress = Read.at("address"),
-                        .Term = Read.at("term"),
-                        .Leaving = Read.at("leaving"),
-                        .Released = Read.at("released"),
-                        .CommandsVms = Read.value("commands_vms", false),
-                        // Unknown in rows of builds that did not store it.
-                        .EarlierCommandsFor = milliseconds(Read.value(
-                            "earlier_commands_ms",
-                            wholeMillis(OwnershipTimings{}.LeaseDuration)))};
+    return OwnershipRow{
+        .Holder = Read.at("holder"),
+        .Incarnation = Read.at("incarnation"),
+        .PeerAddress = Read.at("address"),
+        .Term = Read.at("term"),
+        .Leaving = Read.at("leaving"),
+        .OfferingCapacity =
+            Read.contains("offering_capacity")
+                ? std::optional<double>(Read.at("offering_capacity"))
+                : std::nullopt,
+        .Released = Read.at("released"),
+        .CommandsVms = Read.value("commands_vms", false),
+        // Unknown in rows of builds that did not store it.
+        .EarlierCommandsFor = milliseconds(
+            Read.value("earlier_commands_ms",
+                       wholeMillis(OwnershipTimings{}.LeaseDuration)))};
   } catch (const json::exception &Exception) {
     return makeError(ErrorKind::BadRequest, Exception.what());
   }
@@ -105,11 +112,13 @@
     this->HolderEnded = true;
 }
 
-bool OwnershipObserver::mayClaim() const {
+bool OwnershipObserver::mayClaim(const Claimant &Daemon) const {
   if (!this->HasRead)
     return false;
-  if (this->Version == 0 || this->HolderEnded || this->Row.Released ||
-      this->Row.Leaving)
+  if (this->Version == 0 || this->HolderEnded || this->Row.Released)
+    return true;
+  if (this->Row.Leaving && (!this->Row.OfferingCapacity ||
+                            mayTakeOffer(*this->Row.OfferingCapacity, Daemon)))
     return true;
   const bool IsUnreachable = this->Contact == HolderContact::Refuses ||
                              this->Contact == HolderContact::Silent;
--- a/packages/ownership/src/voluntaryhandover.cpp
+++ b/packages/ownership/src/voluntaryhandover.cpp
@@ -2,6 +2,17 @@
 
 namespace sardinerill::site {
 
+bool mayTakeOffer(double OfferingCapacity, const Claimant &Daemon) {
+  return Daemon.HasOwnConnection && Daemon.Capacity >= OfferingCapacity;
+}
+
+void VoluntaryHandover::beginTerm(bool FollowsAnother, bool Relayed,
+                                  Instant ClaimedAt) {
+  *this = VoluntaryHandover(this->Timings);
+  if (FollowsAnother || Relayed)
+    this->NextOfferFrom = ClaimedAt + this->Timings.RetryAfter;
+}
+
 bool VoluntaryHandover::update(bool Relayed, Instant Now) {
   if (!Relayed)
     this->RelayedSince.reset();
--- a/packages/ownership/tests/voluntaryhandover_test.cpp
+++ b/packages/ownership/tests/voluntaryhandover_test.cpp
@@ -51,6 +51,8 @@
   VoluntaryHandover Handover;
   Handover.update(true, at(1000));
   REQUIRE(Handover.update(true, at(2000)));
-  Handover.reset();
+  Handover.beginTerm(false, false, at(2100));
   CHECK_FALSE(Handover.update(true, at(2100)));
+  CHECK_FALSE(Handover.update(true, at(3000)));
+  CHECK(Handover.update(true, at(3100)));
 }
--- a/packages/site/src/ownershipmanager.cpp
+++ b/packages/site/src/ownershipmanager.cpp
@@ -48,6 +48,9 @@
           .PeerAddress = this->Deps.Settings.PeerEndpoint.str(),
           .Term = OfTerm,
           .Leaving = this->IsLeaving || this->OffersLease,
+          .OfferingCapacity = this->OffersLease && !this->IsLeaving
+                                  ? std::optional(this->Deps.Settings.Capacity)
+                                  : std::nullopt,
           .CommandsVms =
               this->Lease && this->Lease->vmPauseIsOver(this->Deps.Clock.now()),
           .EarlierCommandsFor = std::max<Duration>(this->EarlierCommandsUntil -
@@ -55,6 +58,11 @@
                                                    Duration::zero())};
 }
 
+Claimant OwnershipManager::ownClaimant() const {
+  return {.Capacity = this->Deps.Settings.Capacity,
+          .HasOwnConnection = !this->Deps.Store.usesRelays()};
+}
+
 Async<void> OwnershipManager::run() {
   while (true) {
     if (this->Lease && this->Lease->isLost()) {
@@ -62,7 +70,6 @@
                {{"token", std::to_string(this->Lease->token())}});
       this->Lease = nullptr;
       this->OffersLease = false;
-      this->Handover.reset();
       this->StopHolder();
     }
     if (this->Lease)
@@ -97,7 +104,7 @@
            Offered ? "ownership.offered" : "ownership.offer_withdrawn",
            {{"token", std::to_string(this->Lease->token())},
             {"reason", Offered ? "no own connection to the table"
-                               : "no other daemon has claimed it"}});
+                               : "no suitable daemon has claimed it"}});
 }
 
 Async<void> OwnershipManager::renew() {
@@ -190,11 +197,11 @@
     // and a holder that stopped has used its token and run numbers.
     if (Decoded->Holder == this->Deps.Settings.Name)
       this->Observer.markHolderGone(Decoded->Incarnation);
-    else if (!this->Observer.mayClaim() &&
+    else if (!this->Observer.mayClaim(this->ownClaimant()) &&
              this->Observer.renewalIsOverdue(this->Deps.Clock.now()))
       co_await this->probeHolder();
   }
-  if (!this->Observer.mayClaim() || this->IsLeaving) {
+  if (!this->Observer.mayClaim(this->ownClaimant()) || this->IsLeaving) {
     this->ClaimableSince = {};
     co_return;
   }
@@ -224,6 +231,9 @@
   // The row would say that its holder accepts no jobs.
   if (this->IsLeaving)
     co_return;
+  // The connection may have been lost during the pause.
+  if (!this->Observer.mayClaim(this->ownClaimant()))
+    co_return;
   const PredecessorState Predecessor = this->Observer.predecessorState();
   const Instant SentAt = this->Deps.Clock.now();
   this->EarlierCommandsUntil = this->Observer.earlierCommandsUntil(SentAt);
@@ -247,10 +257,13 @@
 void OwnershipManager::onClaimed(std::int64_t Token, const OwnershipRow &NewRow,
                                  PredecessorState Predecessor, Instant SentAt) {
   this->Term = NewRow.Term;
+  this->Handover.beginTerm(this->Observer.version() != 0,
+                           this->Deps.Store.usesRelays(), SentAt);
   logEvent(LogLevel::Info, "ownership.claimed",
            {{"token", std::to_string(Token)},
             {"term", std::to_string(NewRow.Term)},
             {"before", this->Observer.row().Holder},
+            {"offered", this->Observer.row().OfferingCapacity ? "yes" : "no"},
             {"before_may_order",
              Predecessor == PredecessorState::MayBeActive ? "yes" : "no"}});
   this->StartHolder(
--- a/packages/site/src/ownershipmanager.h
+++ b/packages/site/src/ownershipmanager.h
@@ -63,6 +63,8 @@
   void onClaimed(std::int64_t Token, const OwnershipRow &NewRow,
                  PredecessorState Predecessor, Instant SentAt);
   OwnershipRow ownRow(int Term) const;
+  /// \returns what decides whether this daemon may take an offered lease.
+  Claimant ownClaimant() const;
 
   SiteDeps Deps;
   std::string Incarnation;
--- a/packages/site/tests/takeover_test.cpp
+++ b/packages/site/tests/takeover_test.cpp
@@ -157,6 +157,51 @@
   CHECK(Daemon.storedRow().Holder == "b");
 }
 
+TEST_CASE("an offered lease is left to daemons that are suited to it") {
+  // Guards against a weak daemon, or one that is cut off itself, that claims
+  // the lease of a holder that works on; such a site started nothing for 11 s.
+  struct Case {
+    double Capacity;
+    bool Relayed;
+    bool Claims;
+  };
+  for (const Case &Each :
+       {Case{50, false, true}, Case{12, false, false}, Case{50, true, false}}) {
+    CAPTURE(Each.Capacity);
+    CAPTURE(Each.Relayed);
+    DaemonFixture Daemon;
+    Daemon.Settings.Capacity = Each.Capacity;
+    Daemon.Store.Relayed = Each.Relayed;
+    Daemon.store({.Holder = "b",
+                  .Incarnation = "2",
+                  .Leaving = true,
+                  .OfferingCapacity = 50});
+    Daemon.startManager();
+    Daemon.runFor(milliseconds(700)); // Before the holder counts as silent.
+    CHECK(Daemon.Claims.empty() != Each.Claims);
+  }
+}
+
+TEST_CASE("a holder that is cut off offers its lease with its capacity, and "
+          "none when it stops") {
+  // Guards against an offer that any daemon takes, and against a planned stop
+  // that only strong daemons may follow.
+  DaemonFixture Daemon;
+  Daemon.Settings.Capacity = 50;
+  Daemon.Settings.Policy.HandOverWhenCutOff = true;
+  Daemon.startManager();
+  Daemon.runFor(milliseconds(300));
+  REQUIRE(Daemon.Claims.size() == 1);
+  Daemon.Store.Relayed = true;
+  Daemon.runFor(milliseconds(1900));
+  CHECK(Daemon.storedRow().Leaving);
+  CHECK(Daemon.storedRow().OfferingCapacity == 50);
+  Daemon.Manager.startLeaving();
+  Daemon.runFor(milliseconds(400));
+  CHECK(Daemon.storedRow().Leaving);
+  CHECK_FALSE(Daemon.storedRow().OfferingCapacity.has_value());
+}
+
 TEST_CASE(
     "a holder that loads late leaves the progress head to its successor") {
   // It was cut off right after its claim. If it takes the head back when the
