--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -24,6 +24,13 @@
   return describe(Id.Task) + "/" + std::to_string(Id.Number);
 }
 
+std::string millisAgo(const std::optional<Instant> &Since, Instant Now) {
+  if (!Since)
+    return "never";
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(Now - *Since).count());
+}
+
 JobRecord *Scheduler::Impl::job(const JobId &Id) {
   const auto Found = this->Jobs.find(Id);
   return Found == this->Jobs.end() ? nullptr : Found->second.get();
@@ -331,17 +338,13 @@
   if (Found == this->Inner->Upstreams.end())
     return;
   const std::map<RunId, RunPtr> LostRuns = Found->second->Runs;
-  logEvent(LogLevel::Warning, "upstream.lost",
-           {{"upstream", Id.str()},
-            {"pool", Found->second->Report.Pool.str()},
-            {"reason", std::string(Reason)},
-            {"contact_lost_ms_ago",
-             Found->second->ContactLostAt
-                 ? std::to_string(std::chrono::duration_cast<milliseconds>(
-                                      Now - *Found->second->ContactLostAt)
-                                      .count())
-                 : std::string("never")},
-            {"runs", std::to_string(LostRuns.size())}});
+  logEvent(
+      LogLevel::Warning, "upstream.lost",
+      {{"upstream", Id.str()},
+       {"pool", Found->second->Report.Pool.str()},
+       {"reason", std::string(Reason)},
+       {"contact_lost_ms_ago", millisAgo(Found->second->ContactLostAt, Now)},
+       {"runs", std::to_string(LostRuns.size())}});
   for (const auto &[Run, Lost] : LostRuns)
     this->Inner->loseRun(Lost, Now);
   this->Inner->Upstreams.erase(Id);
--- a/packages/scheduling/src/schedulerrestart.cpp
+++ b/packages/scheduling/src/schedulerrestart.cpp
@@ -46,10 +46,6 @@
   return Names[static_cast<std::size_t>(Phase)];
 }
 
-std::int64_t ageMs(Instant Since, Instant Now) {
-  return std::chrono::duration_cast<milliseconds>(Now - Since).count();
-}
-
 } // namespace
 
 void Scheduler::Impl::loseRun(const RunPtr &Lost, Instant Now) {
@@ -58,10 +54,8 @@
             {"upstream", Lost->Upstream.str()},
             {"phase", std::string(nameOf(Lost->Phase))},
             {"listed", Lost->Listed ? "yes" : "no"},
-            {"confirmed_ms_ago",
-             Lost->ConfirmedAt ? std::to_string(ageMs(*Lost->ConfirmedAt, Now))
-                               : std::string("never")},
-            {"age_ms", std::to_string(ageMs(Lost->StartedAt, Now))}});
+            {"confirmed_ms_ago", millisAgo(Lost->ConfirmedAt, Now)},
+            {"age_ms", millisAgo(Lost->StartedAt, Now)}});
   this->removeRun(Lost);
   if (TaskRecord *Task = this->task(Lost->Id.Task))
     Task->NotBefore = Now; // It may be started elsewhere at once.
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -375,5 +375,8 @@
 };
 
 std::string describe(const RunId &Id);
+/// \returns the time from \p Since to \p Now in milliseconds, for a log line;
+/// "never" if there is none.
+std::string millisAgo(const std::optional<Instant> &Since, Instant Now);
 
 } // namespace sardinerill::site
--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -77,8 +77,8 @@
   int Restarts = 0; ///< Incarnations that have ended since it was created.
   Instant RestartedAt{};
   int UnansweredPolls = 0; ///< Consecutive polls without an answer.
-  /// Expiry of the leases of the next process, which the old one's end was
-  /// followed by.
+  /// When the leases expire that a process may have been sent which followed
+  /// one that has ended, and has not answered yet.
   std::optional<Instant> NextProcessLeasesUntil;
 };
 
