An upstream gets no new tasks while its polls fail

Their starts had reached the next process of a crashed upstream 11 ms after it had begun, 3.5 s after the upstream had stopped answering.

Cause: an upstream whose polls fail went on to get starts. One that does not connect counts as refused, which does not mark the upstream as unresponsive, so that starts went on all the time it was down, and the next process under the same id accepted the first that reached it, unknown to the holder.

Ruled out: that it would leave tasks without an upstream for long. One answered poll ends it; after a failed poll the next follows in 250 ms.

Change: UpstreamRecord::acceptsTasks() is false from a failed poll to the next answer. A start can still be under way when the first poll fails.

Tests: 'an upstream gets no new tasks while its polls fail' failed before (6 of 1,223 assertions of scheduling_tests). The cases on lists of VMs that are down began with a start to an upstream without contact, which is not sent any more: the contact is now lost right after the start, with the same times from there on, and the property tells the end of a process from its notice. After: 150 cases of scheduling_tests and 69 of site_tests pass (address and undefined-behaviour sanitizers).

--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -190,11 +190,13 @@
   UpstreamHealth Health;
 
   Resources freeCapacity() const { return this->Report.Capacity - this->Used; }
-  /// \returns whether new tasks may be placed here.
+  /// \returns whether new tasks may be placed here. Without contact, the next
+  /// process under the same id could accept a start before the end of this one
+  /// is known.
   bool acceptsTasks() const {
-    return this->Answered && this->Registered && !this->Report.Draining &&
-           !this->Cordoned && !this->ZoneEvacuated && !this->Unresponsive &&
-           !this->ZoneUnresponsive;
+    return this->Answered && this->Registered && !this->ContactLostAt &&
+           !this->Report.Draining && !this->Cordoned && !this->ZoneEvacuated &&
+           !this->Unresponsive && !this->ZoneUnresponsive;
   }
   std::string_view rack() const;
 };
--- a/packages/scheduling/tests/downvm_test.cpp
+++ b/packages/scheduling/tests/downvm_test.cpp
@@ -57,24 +57,42 @@
   }
 };
 
-/// Starts a job of one task on u1, with which contact has been lost for 100 ms,
-/// and leaves the start without an outcome. u2 is free.
-void startAfterLostContact(DownVmSite &Site) {
+/// Starts a job of one task on u1, whose process has ended, and leaves the
+/// start without an outcome. The lost contact is noticed right after that, 100
+/// ms ago. u2 is free.
+void startBeforeLostContact(DownVmSite &Site) {
   Site.add("u1", 8000);
-  Site.loseContact();
-  Site.NowMs += 100;
   Site.submit(jobOf(TestJob.str(), {stepOf(1, 1000, 500)}));
   Site.JobScheduler.schedule(at(Site.NowMs), Site.NowMs);
   REQUIRE(Site.JobScheduler.takeCommands().size() == 1);
+  Site.loseContact();
+  Site.NowMs += 100;
   Site.add("u2", 8000);
 }
 
 } // namespace
 
+TEST_CASE("an upstream gets no new tasks while its polls fail") {
+  // The next process under the same id could accept a start before the holder
+  // knows of it.
+  DownVmSite Site;
+  Site.add("u1", 8000);
+  Site.loseContact();
+  Site.submit(jobOf(TestJob.str(), {stepOf(1, 1000, 500)}));
+  CHECK(Site.schedule().empty());
+  Site.advance(2000);
+  CHECK(Site.schedule().empty());
+  SUBCASE("until it answers again") { Site.first().Unreachable = false; }
+  SUBCASE("while another upstream is free") { Site.add("u2", 8000); }
+  Site.advance(10);
+  CHECK(Site.schedule().size() == 1);
+  CHECK(Site.running(FirstRun.Task) == 1);
+}
+
 TEST_CASE("a start that the next process accepted is not sent elsewhere when "
           "the list shows the VM as down") {
   DownVmSite Site;
-  startAfterLostContact(Site);
+  startBeforeLostContact(Site);
   const std::int64_t RequestedMs = Site.NowMs - 10;
   SUBCASE("accepted before the list is applied") {
     Site.acceptFirstRun();
@@ -139,7 +157,7 @@
 TEST_CASE("a start with an unknown outcome is barred at the next process "
           "before its task is started elsewhere") {
   DownVmSite Site;
-  startAfterLostContact(Site);
+  startBeforeLostContact(Site);
   Site.JobScheduler.handleStartOutcome(FirstId, FirstRun, StartOutcome::Unknown,
                                        at(Site.NowMs));
   Site.listAsDown(Site.NowMs - 10);
@@ -173,7 +191,7 @@
     Site.listAsDown(Site.NowMs - 10);
   }
   SUBCASE("accepted, and the VM is still down in a later list") {
-    startAfterLostContact(Site);
+    startBeforeLostContact(Site);
     Site.acceptFirstRun();
     Site.listAsDown(Site.NowMs - 10);
     CHECK(Site.schedule().empty());
@@ -181,7 +199,7 @@
     Site.listAsDown(Site.NowMs - 10);
   }
   SUBCASE("unknown outcome, and the VM runs another upstream") {
-    startAfterLostContact(Site);
+    startBeforeLostContact(Site);
     Site.JobScheduler.handleStartOutcome(FirstId, FirstRun,
                                          StartOutcome::Unknown, at(Site.NowMs));
     Site.listAsDown(Site.NowMs - 10);
@@ -194,7 +212,7 @@
   }
   SUBCASE("unknown outcome, and the VM is down for longer than a call may be "
           "delayed") {
-    startAfterLostContact(Site);
+    startBeforeLostContact(Site);
     Site.JobScheduler.handleStartOutcome(FirstId, FirstRun,
                                          StartOutcome::Unknown, at(Site.NowMs));
     Site.listAsDown(Site.NowMs - 10);
@@ -214,7 +232,7 @@
           "that no VM runs") {
   // A VM that is down may be listed without an upstream.
   DownVmSite Site;
-  startAfterLostContact(Site);
+  startBeforeLostContact(Site);
   Site.acceptFirstRun();
   Site.listAsDown(Site.NowMs - 10);
   Site.NowMs += 1000;
@@ -229,12 +247,12 @@
   Site.advance(10);
   const RunListing Late = Site.first().listing(Site.NowMs);
   const Instant SentAt = at(Site.NowMs);
-  Site.loseContact();
-  Site.NowMs += 400;
   const JobId Second("fedcba9876543210");
   Site.submit(jobOf(Second.str(), {stepOf(1, 1000, 500)}));
   Site.JobScheduler.schedule(at(Site.NowMs), Site.NowMs);
   REQUIRE(Site.JobScheduler.takeCommands().size() == 1);
+  Site.loseContact();
+  Site.NowMs += 400;
   Site.listAsDown(Site.NowMs - 10);
   Site.JobScheduler.applyListing(FirstId, Late, SentAt, at(Site.NowMs));
   CHECK(Site.usedCpu("u1") == 1000); // The start in flight.
@@ -250,9 +268,10 @@
     bool Down = false;
     std::int64_t DownListedMs = 0; ///< Latest state that a list may show.
     int Jobs = 0;
-    // Below 30: submit; 45: u1 goes down; 60: it comes back, and accepts what
-    // is sent to it before the holder knows; 75: an old list is applied; 85:
-    // advance the clock by that many ms; otherwise: the same, and poll.
+    // Below 30: submit; 40: u1 goes down; 45: the holder notices; 60: it comes
+    // back, and accepts what is sent to it before the holder knows; 75: an old
+    // list is applied; 85: advance the clock by that many ms; otherwise: the
+    // same, and poll.
     const auto Actions = *rc::gen::container<std::vector<int>>(
         rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 100)));
     for (const int Action : Actions) {
@@ -260,11 +279,13 @@
       if (Action < 30) {
         Site.submit(jobOf("job" + std::to_string(Jobs++),
                           {stepOf(1 + Action % 4, 1000, 300)}));
-      } else if (Action < 45 && !Down) {
+      } else if (Action < 40 && !Down) {
         Down = true;
+        First.Unreachable = true;
         First.Running.clear();
         First.Ended.clear();
         First.LastSequence = 0;
+      } else if (Action < 45 && Down) {
         Site.loseContact();
         Site.NowMs += 10;
       } else if (Action < 60 && Down) {
