--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,61 +1,73 @@
-"""One worker crashes again and again; a job that lasts is given up, and all its tasks are stopped."""
+"""A worker crashes silently and starts again under its id, accepts a start, and is cut off with its zone for 6.3 s."""
 
 import asyncio
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lab"))
-from lab import Job, Lab, TROUBLE, Worker, run_case  # noqa: E402
+from lab import HEARTBEAT_S, Job, Lab, TROUBLE, Worker, run_case  # noqa: E402
 
-WORKERS = 8  # One of them crashes: a share of 0.125, below 0.15.
-UP_S, DOWN_S, CRASHES = 0.7, 0.7, 9
-# A job that lasts, one task on each worker.
-LASTING = [{"count": WORKERS, "cpu": 1300, "mem-mb": 3100, "estimate-ms": 700,
-            "long-running": True, "anti-affinity": 1, "max-unavailable": 1}]
+LABEL = "b"
+STEPS = [{"count": 1, "cpu": 1000, "mem-mb": 512, "estimate-ms": 30000, "work_s": 30.0,
+          "node-selector": LABEL}]
+DOWN_S, CUT_S = 0.5, 6.3
 
 
 def make():
     lab = Lab()
-    lab.stopped = []  # (time, task, worker, at work before)
+    lab.twice = []
+    started = lab.started
 
-    def on_end(worker, run, how):
-        if how == "stopped":
-            lab.stopped.append((lab.now(), run.task, worker.id, run.at_work()))
-    lab.on_end = on_end
+    def watch(worker, run):
+        for entry in lab.history.get(run.task, []):
+            if entry[3] is None:
+                lab.twice.append((lab.now(), run.task, run.number, entry[2].number))
+                lab.record("TWICE", task=run.task, run=run.number, on=worker.id,
+                           beside=entry[2].number, at=entry[1].id)
+        started(worker, run)
+    lab.started = watch
     return lab
 
 
 async def play(lab):
-    workers = [Worker(lab, i, lab.zones[i % 3], "intake") for i in range(WORKERS)]
-    await lab.open({"ledger": ("intake", 4)}, workers)
-    job = Job("ledger", LASTING, last=True)
+    workers = [Worker(lab, i, lab.zones[i % 3], "intake") for i in range(3)]
+    fresh = Worker(lab, 8, "superior", "intake", labels=[LABEL, "r2"])
+    other = Worker(lab, 9, "huron", "intake", labels=[LABEL, "r3"])
+    await lab.open({"weigh": ("intake", 4)}, workers)
+    workers.append(fresh)
+    await fresh.begin()
+    await asyncio.sleep(3.0)
+    if TROUBLE:
+        lab.record("trouble", what="a worker crashes silently and starts again under its id",
+                   worker=fresh.id)
+        fresh.server.silence()
+        fresh.state = "down"
+        await asyncio.sleep(DOWN_S)
+        await fresh.begin(same_id=True)
+        fresh.registers_at = lab.now() + HEARTBEAT_S
+    job = Job("weigh", STEPS)
     if not await lab.submit(job):
         raise RuntimeError("the job is not accepted")
-    await asyncio.sleep(4.0)
-    if sum(len(worker.runs) for worker in workers) != WORKERS:
-        raise RuntimeError("the tasks are not all at work before the disruption")
+    for _ in range(100):
+        if fresh.runs:
+            break
+        await asyncio.sleep(0.01)
+    else:
+        raise RuntimeError("the worker got no start")
+    if TROUBLE:
+        await asyncio.sleep(DOWN_S)
+        lab.record("trouble", what="the zone of the worker is cut off", s=CUT_S)
+        fresh.server.cut_off(True)
+        fresh.registers_at = lab.now() + CUT_S
+    workers.append(other)
+    await other.begin()
+    await asyncio.sleep(CUT_S)
     if TROUBLE:
-        lab.record("trouble", what="one worker crashes again and again",
-                   machine=workers[0].machine)
-        for _ in range(CRASHES):
-            await asyncio.sleep(UP_S)
-            workers[0].finish("crash")
-            await asyncio.sleep(DOWN_S)
-            await workers[0].begin()
-    await asyncio.sleep(10.0)
-    # Orders that end a task at work while others are away that such an order has ended.
-    broken = [entry for number, entry in enumerate(lab.stopped)
-              if entry[3] and number >= LASTING[0]["max-unavailable"]]
-    for at, task, worker, _ in broken:
-        lab.record("AVAIL", task=task, worker=worker, at=round(at, 2))
-    state = await lab.ask(job)
-    ends = [entry[4] for task in job.tasks() for entry in lab.history.get(task, [])]
-    running = sum(len(worker.runs) for worker in workers)
-    text = (f"{len(broken)} tasks at work on sound workers were stopped while others of their step "
-            f"were away (AVAIL); the job is shown as {state!r}, {running} of its {WORKERS} tasks "
-            "run; ends of runs: " + ", ".join(
-                f"{ends.count(how)} {how}" for how in sorted(set(ends)) if how))
-    return bool(broken), text
+        fresh.server.cut_off(False)
+        lab.record("trouble.end", what="the zone is back")
+    await asyncio.sleep(6.0)
+    text = f"{len(lab.twice)} times a task was started while another run of it was at work (TWICE)"
+    return bool(lab.twice), text
 
 
 run_case(__file__, make, play)
--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -58,7 +58,7 @@
 
     def __init__(self, handle, host):
         self.handle, self.host, self.port = handle, host, 0
-        self.connections, self.listener = set(), None
+        self.connections, self.listener, self.cut = set(), None, False
 
     async def open(self):
         self.listener = await asyncio.start_server(
@@ -86,8 +86,14 @@
             connection.silent = True
         return len(chosen)
 
+    def cut_off(self, cut):
+        """While it is cut off, no connection delivers anything; those of before never do again."""
+        self.cut = cut
+        self.silence()
+
     async def _serve(self, reader, writer):
         own = Connection(reader, writer)
+        own.silent = self.cut
         self.connections.add(own)
         try:
             while not own.silent:
@@ -262,15 +268,18 @@
 
     async def begin(self, same_id=False):
         self.lives += 1
+        self.registers_at = 0.0
         if not same_id or not self.id:
             self.id = f"i-{random.getrandbits(40):010x}"
         self.born, self.begun = int(time.time() * 1000), time.monotonic()
-        self.clock_base, self.token, self.deadline = random.randrange(10**6), 0, 0
+        self.clock_base = 0 if same_id else random.randrange(10**5, 10**6)
+        self.token = self.deadline = 0
         self.last_end = self.acked = 0
         self.highest, self.runs, self.ends = {}, {}, []
         self.end_event, self.draining, self.state, self.lapse = asyncio.Event(), False, "up", None
         self.sequence, self.reported_at = 0, 0.0
-        await self.server.open()
+        if not self.server.listener or not self.server.listener.is_serving():
+            await self.server.open()
         self.lab.record("worker.begin", worker=self.id, machine=self.machine, born=self.born)
 
     def finish(self, reason, state="down"):
@@ -678,7 +687,7 @@
         while True:
             now = time.monotonic()
             for worker in self.workers:
-                if worker.state != "up":
+                if worker.state != "up" or self.now() < worker.registers_at:
                     continue
                 changed = (worker.id, worker.born, worker.draining)
                 if self.listed.get(worker.id, (0, None))[1] == changed and \
