The client of a holder outlives the calls that wait for it

Cause: CallerHandler::holderClient() replaces the client when the ownership row names another holder, and destroys it. Queries of a job's state and of a queue's length keep a plain pointer to it while they wait, and HolderClient::call() goes on with a member of the object that is gone.

A late answer read into freed memory of the HTTP client is ruled out (it shares its state with each call), as is a change of the holder inside a daemon.

Fix: holderClient() returns a shared pointer that each caller keeps for the length of its call. Why it works: the object lives as long as the last call on it.

Before: the new test crashed with heap-use-after-free, both subcases.

--- a/packages/site/src/callerhandler.cpp
+++ b/packages/site/src/callerhandler.cpp
@@ -232,7 +232,7 @@
                Refused->RetryAfter};
 }
 
-HolderClient *CallerHandler::holderClient() {
+std::shared_ptr<HolderClient> CallerHandler::holderClient() {
   const Endpoint HolderAddress = this->Deps.HolderEndpoint();
   if (!HolderAddress.isValid())
     return nullptr;
@@ -242,7 +242,7 @@
         this->Deps.Executor, HolderAddress, this->Deps.OnHolderAnswer);
     this->RemoteLoad = std::make_shared<HolderLoad>();
   }
-  return this->HolderConnection.get();
+  return this->HolderConnection;
 }
 
 void CallerHandler::notifyHolder(JobChange Change) {
@@ -259,7 +259,7 @@
 Async<Result<CallerReply>> CallerHandler::stateOf(AdmittedCall Admitted) {
   if (const auto Local = this->Deps.LocalState(Admitted.Job))
     co_return CallerReply(*Local);
-  if (HolderClient *Client = this->holderClient()) {
+  if (const auto Client = this->holderClient()) {
     const auto State = co_await Client->stateOf(Admitted.Job, HolderTimeout);
     if (State)
       co_return CallerReply(*State);
@@ -293,7 +293,7 @@
 Async<Result<CallerReply>> CallerHandler::pending(AdmittedCall Admitted) {
   if (const auto Local = this->Deps.LocalPendingJobs(Admitted.Queue.Id))
     co_return CallerReply(*Local);
-  if (HolderClient *Client = this->holderClient()) {
+  if (const auto Client = this->holderClient()) {
     const auto Count =
         co_await Client->pendingJobs(Admitted.Queue.Id, HolderTimeout);
     if (Count)
--- a/packages/site/src/callerhandler.h
+++ b/packages/site/src/callerhandler.h
@@ -83,7 +83,9 @@
   std::shared_ptr<const overload::LoadSummary> knownLoad();
   /// \returns why \p Spec is refused if it has not been accepted before.
   std::optional<Error> refusalOf(const JobSpec &Spec);
-  HolderClient *holderClient();
+  /// \returns the client of the holder in another daemon; null if there is
+  /// none. A call on it may outlast HolderConnection, so its caller keeps it.
+  std::shared_ptr<HolderClient> holderClient();
   /// Notifies the holder of \p Change, so that it need not wait for the table's
   /// list of changes.
   void notifyHolder(JobChange Change);
--- a/packages/site/tests/callerhandler_test.cpp
+++ b/packages/site/tests/callerhandler_test.cpp
@@ -1,6 +1,8 @@
 #include "callerhandler.h"
 #include "fakestore.h"
 
+#include "sardinerill/http/httpserver.h"
+
 #include <doctest/doctest.h>
 
 using namespace sardinerill;
@@ -30,7 +32,7 @@
   return std::make_shared<const overload::LoadSummary>(Summary);
 }
 
-/// An entry daemon that is the holder, or knows none.
+/// An entry daemon.
 struct CallerFixture {
   boost::asio::io_context Context;
   FakeStore Store;
@@ -46,6 +48,7 @@
                                               .Public = true}}};
   std::optional<std::int64_t> NewerVersion;
   std::shared_ptr<const overload::LoadSummary> Load = loadOf(1000);
+  Endpoint Holder; ///< Not valid: this daemon is the holder, or knows none.
   CallerHandler Handler;
 
   explicit CallerFixture(bool RefuseUnservable = true)
@@ -63,7 +66,9 @@
              .NotifyLocalHolder = [](const JobChange &) { return true; },
              .LocalLoad = [this] { return this->Load; },
              .RefuseUnservable = RefuseUnservable,
-             .HolderEndpoint = [] { return Endpoint(); }}) {}
+             .HolderEndpoint = [this] { return this->Holder; },
+             .OnHolderAnswer = [](const Endpoint &, const HttpResponse &) {}}) {
+  }
 
   Result<CallerReply> call(CallerCall Call) {
     return runToEnd<Result<CallerReply>>(
@@ -141,6 +146,48 @@
   CHECK(Off.submit("0000000000000005"));
 }
 
+TEST_CASE("a holder that answers after its successor has been asked does not "
+          "end the process") {
+  // Guards against a use after free: the client of a holder that stood still
+  // was destroyed while calls on it waited, once a call went to the next one.
+  CallerFixture Fixture;
+  const std::string Id = "0123456789abcdef";
+  Fixture.Load = nullptr;
+  REQUIRE(Fixture.submit(Id));
+  AsyncEvent Wakes(Fixture.Context.get_executor());
+  int Asked = 0;
+  const auto Answer = [&](HttpRequest) -> Async<HttpResponse> {
+    if (++Asked == 1)
+      co_await Wakes.wait(seconds(30));
+    else
+      Wakes.notify();
+    co_return HttpResponse{.Status = 200, .Body = "1"};
+  };
+  HttpServer Frozen(Fixture.Context.get_executor(), {"127.0.0.1", 0}, Answer);
+  HttpServer Successor(Fixture.Context.get_executor(), {"127.0.0.1", 0},
+                       Answer);
+  CallKind Kind = CallKind::State;
+  SUBCASE("state of a job") {}
+  SUBCASE("count of pending jobs") { Kind = CallKind::Pending; }
+  const CallerCall Call{.Kind = Kind, .Host = "host", .Path = "/q/" + Id};
+  std::vector<Result<CallerReply>> Replies;
+  const auto Send = [&]() -> Async<void> {
+    Replies.push_back(co_await Fixture.Handler.handle(Call));
+  };
+  Fixture.Holder = {"127.0.0.1", Frozen.port()};
+  spawn(Fixture.Context.get_executor(), "first", Send);
+  Fixture.Context.restart();
+  while (Asked == 0)
+    Fixture.Context.run_one();
+  Fixture.Holder = {"127.0.0.1", Successor.port()};
+  spawn(Fixture.Context.get_executor(), "second", Send);
+  while (Replies.size() < 2)
+    Fixture.Context.run_one();
+  CHECK(Replies.size() == 2);
+  Frozen.stopAccepting();
+  Successor.stopAccepting();
+}
+
 TEST_CASE("an old, unreadable or overtaken summary is not used") {
   // Guards against refusals by a load that has passed.
   const auto At = [](std::int64_t Millis) {
