--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -224,6 +224,7 @@
   const Instant StartedAt = this->Deps.Clock.now();
   // Once the head row is claimed, no previous holder can store progress.
   bool HeadClaimed = false;
+  std::size_t WithProgress = 0;
   while (!this->Context->Stopped && !this->Loaded) {
     HeadClaimed = HeadClaimed || co_await this->claimProgressHead();
     if (this->Ownership.isLost())
@@ -248,6 +249,7 @@
       continue;
     }
     this->JobsReadAt = RequestedAt;
+    WithProgress = Stored->Progress.size();
     for (const JobChange &Change : Stored->Changes) {
       const auto Progress = Stored->Progress.find(Change.Job);
       this->applyChange(Change, Progress == Stored->Progress.end()
@@ -260,6 +262,7 @@
   const Duration Elapsed = this->Deps.Clock.now() - StartedAt;
   logEvent(LogLevel::Info, "holder.loaded",
            {{"jobs", std::to_string(this->JobScheduler.jobs().size())},
+            {"with_progress", std::to_string(WithProgress)},
             {"token", std::to_string(this->Claim.Token)},
             {"took_ms",
              std::to_string(
--- a/packages/site/src/jobtable.cpp
+++ b/packages/site/src/jobtable.cpp
@@ -518,13 +518,18 @@
   for (Transaction &Change : Removals) {
     if (Change.Deletes.empty())
       continue;
+    const RowKey First = Change.Deletes.front();
+    const std::size_t Rows = Change.Deletes.size();
     const auto Outcome =
         co_await this->Store.transact(std::move(Change), CallTimeout);
     // Rows that could not be deleted stay until a later holder, which loads
     // them again, removes them.
     if (!Outcome)
       logEvent(LogLevel::Warning, "job.removal_failed",
-               {{"reason", Outcome.error().Detail}});
+               {{"table", First.Table},
+                {"partition", First.Partition},
+                {"rows", std::to_string(Rows)},
+                {"reason", Outcome.error().Detail}});
   }
 }
 
