Progress of a removed job is deleted after the job itself

Cause: the rows of a job and the row of its progress lie in different partitions and can't be deleted in one transaction. A job whose own rows were left had no progress any more, so the next load took it for a new one.

Ruled out: a late transaction (the table of the case carries none out late), old reads (it has none), a reload by the same holder (no holder.history_gone).

Fix: progress is deleted only after the rows of its jobs are certainly gone; a removal ends at the first transaction that fails, and the holder repeats what is left in its next round. Why it works: at each moment, also with a lost or late transaction, a job that is left has its progress, so that any load sees its end. On the same path: a load read the jobs possibly at an older version of the table than their progress (after the table has lost its history), and then showed a removed job without it. Jobs are now read at the version of the progress or a later one.

--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -92,6 +92,7 @@
   /// \returns whether all pending progress was stored.
   Async<bool> storeProgress();
   Async<bool> storeProgressBatch(std::span<const ProgressChange> Changes);
+  Async<void> removeExpiredJobs(Instant Now);
   Async<void> askAdvice(AdviceRequest Request);
   Async<void> applyStoredChanges(std::vector<JobChange> Changes);
   void applyChange(const JobChange &Change, const JobProgress *Progress);
@@ -119,6 +120,7 @@
   bool PublisherStarted = false;
   bool Loaded = false;
   bool Storing = false;
+  std::vector<JobId> Unremoved; ///< Expired jobs that may have rows left.
   /// Calls that store progress end by then; moved forward by a planned stop.
   Instant StoreDeadline = Instant::max();
   std::int64_t JobsVersion = 0;
--- a/packages/site/src/holderprogress.cpp
+++ b/packages/site/src/holderprogress.cpp
@@ -134,10 +134,19 @@
     if (Now < NextRemoval)
       continue;
     NextRemoval = Now + RemovalInterval;
-    co_await this->Deps.Jobs.remove(this->JobScheduler.takeExpired(Now));
+    co_await this->removeExpiredJobs(Now);
   }
 }
 
+Async<void> Holder::removeExpiredJobs(Instant Now) {
+  std::vector<JobId> Expired = this->JobScheduler.takeExpired(Now);
+  // A job of the same id may have been accepted since.
+  std::ranges::copy_if(
+      this->Unremoved, std::back_inserter(Expired),
+      [this](const JobId &Job) { return !this->JobScheduler.hasJob(Job); });
+  this->Unremoved = co_await this->Deps.Jobs.remove(std::move(Expired));
+}
+
 Async<bool> Holder::flush(Instant Deadline) {
   this->StoreDeadline = Deadline;
   constexpr milliseconds PollInterval{20};
--- a/packages/site/src/jobtable.cpp
+++ b/packages/site/src/jobtable.cpp
@@ -42,8 +42,7 @@
 /// answered. It may be seconds; the rest is margin.
 constexpr seconds MaxLateTransaction{30};
 /// Jobs whose rows in the jobs table, two for each, are deleted in one
-/// transaction; the table accepts up to 100 entries. Progress rows, one for
-/// each job, are deleted for twice as many jobs.
+/// transaction; the table accepts up to 100 entries.
 constexpr std::size_t MaxRemovalsPerTransaction = 45;
 
 std::size_t partitionIndexOf(const JobId &Job) {
@@ -444,6 +443,8 @@
   auto Progress = co_await this->readFresh(std::move(Range), AtLeast);
   if (!Progress)
     co_return tl::unexpected(Progress.error());
+  // In an older state, removed jobs would appear without their progress.
+  AtLeast = std::max(AtLeast, Progress->NewestVersion);
   for (const Row &StoredRow : Progress->Rows)
     if (auto Decoded = decodeProgress(StoredRow.Value))
       Loaded.Progress[JobId(StoredRow.Id.Key)] = std::move(*Decoded);
@@ -493,44 +494,46 @@
   co_return Changes;
 }
 
-Async<void> JobTable::remove(std::vector<JobId> Jobs) {
-  std::map<std::string, std::vector<JobId>> ByPartition;
-  for (const JobId &Job : Jobs)
-    ByPartition[partitionOf(Job)].push_back(Job);
-  std::vector<Transaction> Removals;
-  for (const auto &[Partition, PartitionJobs] : ByPartition) {
-    Transaction Change;
-    for (const JobId &Job : PartitionJobs) {
-      Change.Deletes.push_back(jobKey(Job));
-      Change.Deletes.push_back(cancelKey(Job));
-      if (Change.Deletes.size() >= 2 * MaxRemovalsPerTransaction)
-        Removals.push_back(std::exchange(Change, {}));
+Async<bool> JobTable::deleteRows(std::vector<RowKey> Keys) {
+  const RowKey First = Keys.front();
+  const std::size_t Rows = Keys.size();
+  Transaction Change;
+  Change.Deletes = std::move(Keys);
+  const auto Outcome =
+      co_await this->Store.transact(std::move(Change), CallTimeout);
+  if (Outcome)
+    co_return true;
+  logEvent(LogLevel::Warning, "job.removal_failed",
+           {{"table", First.Table},
+            {"partition", First.Partition},
+            {"rows", std::to_string(Rows)},
+            {"reason", Outcome.error().Detail}});
+  co_return false;
+}
+
+Async<std::vector<JobId>> JobTable::remove(std::vector<JobId> Jobs) {
+  // Groups the jobs of a transaction: they share a partition.
+  std::ranges::sort(Jobs, {}, partitionIndexOf);
+  for (auto Begin = Jobs.begin(); Begin != Jobs.end();) {
+    std::vector<RowKey> JobRows;
+    std::vector<RowKey> ProgressRows;
+    auto End = Begin;
+    for (;
+         End != Jobs.end() && ProgressRows.size() < MaxRemovalsPerTransaction &&
+         partitionIndexOf(*End) == partitionIndexOf(*Begin);
+         ++End) {
+      JobRows.push_back(jobKey(*End));
+      JobRows.push_back(cancelKey(*End));
+      ProgressRows.push_back(progressKey(*End));
     }
-    Removals.push_back(std::move(Change));
-  }
-  Transaction Progress;
-  for (const JobId &Job : Jobs) {
-    Progress.Deletes.push_back(progressKey(Job));
-    if (Progress.Deletes.size() >= 2 * MaxRemovalsPerTransaction)
-      Removals.push_back(std::exchange(Progress, {}));
-  }
-  Removals.push_back(std::move(Progress));
-  for (Transaction &Change : Removals) {
-    if (Change.Deletes.empty())
-      continue;
-    const RowKey First = Change.Deletes.front();
-    const std::size_t Rows = Change.Deletes.size();
-    const auto Outcome =
-        co_await this->Store.transact(std::move(Change), CallTimeout);
-    // Rows that could not be deleted stay until a later holder, which loads
-    // them again, removes them.
-    if (!Outcome)
-      logEvent(LogLevel::Warning, "job.removal_failed",
-               {{"table", First.Table},
-                {"partition", First.Partition},
-                {"rows", std::to_string(Rows)},
-                {"reason", Outcome.error().Detail}});
+    // A job without progress would run again, so its progress is kept until its
+    // own rows are certainly gone.
+    if (!co_await this->deleteRows(std::move(JobRows)) ||
+        !co_await this->deleteRows(std::move(ProgressRows)))
+      co_return std::vector<JobId>(Begin, Jobs.end());
+    Begin = End;
   }
+  co_return std::vector<JobId>{};
 }
 
 } // namespace sardinerill::site
--- a/packages/site/src/jobtable.h
+++ b/packages/site/src/jobtable.h
@@ -78,14 +78,18 @@
   /// Waits up to \p Wait for changes after \p Version and advances \p Version.
   Async<Result<std::vector<JobChange>>> waitForChanges(std::int64_t &Version,
                                                        Duration Wait);
-  /// Removes the rows of jobs whose retention time has passed.
-  Async<void> remove(std::vector<JobId> Jobs);
+  /// Removes the rows of jobs whose retention time has passed. Ends at the
+  /// first transaction that fails.
+  /// \returns the jobs that may have rows left.
+  Async<std::vector<JobId>> remove(std::vector<JobId> Jobs);
 
   static RowKey progressKey(const JobId &Job);
 
 private:
   /// Reads all pages of \p Range, none of them older than \p AtLeast.
   Async<Result<RowPage>> readFresh(RowRange Range, std::int64_t AtLeast);
+  /// Deletes rows of one partition. \returns whether they are certainly gone.
+  Async<bool> deleteRows(std::vector<RowKey> Keys);
   struct Submission;
   struct PartitionQueue;
   /// \returns the time limit of a call for a caller that leaves at \p Deadline.
--- a/packages/site/tests/jobtable_test.cpp
+++ b/packages/site/tests/jobtable_test.cpp
@@ -36,6 +36,24 @@
     return runToEnd<Result<StoredJobs>>(this->Context,
                                         [&] { return this->Jobs.loadAll(); });
   }
+  /// Stores \p Count jobs that have completed.
+  std::vector<JobId> storeCompleted(int Count) {
+    std::vector<JobId> Ids;
+    for (int Index = 0; Index < Count; ++Index) {
+      Ids.emplace_back("job" + std::to_string(Index));
+      REQUIRE(this->accept(Ids.back().str()).has_value());
+      Transaction End;
+      End.Writes.push_back({JobTable::progressKey(Ids.back()),
+                            encodeProgress({.State = JobState::Completed})});
+      this->Store.apply(End);
+    }
+    return Ids;
+  }
+  /// \returns the jobs that may have rows left.
+  std::vector<JobId> remove(const std::vector<JobId> &Ids) {
+    return runToEnd<std::vector<JobId>>(this->Context,
+                                        [&] { return this->Jobs.remove(Ids); });
+  }
 };
 
 } // namespace
@@ -181,6 +199,60 @@
   CHECK(Fresh->Progress.size() == 5);
 }
 
+TEST_CASE("a job whose removal fails in part does not run again") {
+  // Guards against completed jobs that the next holder took for new ones: their
+  // rows were left after an outage, and the rows of their progress were not.
+  for (const CallFault Fault :
+       {CallFault::NotDone, CallFault::Lost, CallFault::Late})
+    for (std::size_t Failing = 0;; ++Failing) {
+      CAPTURE(static_cast<int>(Fault));
+      CAPTURE(Failing);
+      JobTableFixture Fixture;
+      const std::vector<JobId> Ids = Fixture.storeCompleted(100);
+      Fixture.Store.Faults.assign(Failing, CallFault::None);
+      Fixture.Store.Faults.push_back(Fault);
+      const std::vector<JobId> Left = Fixture.remove(Ids);
+      if (!Fixture.Store.Faults.empty()) { // There are fewer transactions.
+        CHECK(Left.empty());
+        CHECK(Fixture.Store.Rows.empty());
+        CHECK(Failing > 9);
+        break;
+      }
+      const auto CheckEnded = [&] {
+        const auto Loaded = Fixture.load();
+        REQUIRE(Loaded.has_value());
+        for (const JobChange &Change : Loaded->Changes)
+          CHECK((Change.FinalState == JobState::Completed));
+      };
+      CheckEnded();
+      Fixture.Store.applyLate();
+      CheckEnded();
+      CHECK(Fixture.remove(Left).empty());
+      CHECK(Fixture.Store.Rows.empty());
+    }
+}
+
+TEST_CASE("a job is not loaded from a state of the table older than that of "
+          "the progress") {
+  // Guards against a completed job that runs again: the table had lost its
+  // history, and showed a removed job after it had shown that the job has no
+  // progress.
+  JobTableFixture Fixture;
+  const std::vector<JobId> Ids = Fixture.storeCompleted(1);
+  Fixture.Store.keepOldState();
+  Fixture.remove(Ids);
+  REQUIRE(Fixture.Store.Rows.empty());
+  REQUIRE(Fixture.load().has_value());
+  const int ReadsOfOneLoad = Fixture.Store.Reads;
+  for (int Old = 2; Old <= ReadsOfOneLoad; ++Old) { // The first is of progress.
+    CAPTURE(Old);
+    Fixture.Store.Reads = 0;
+    Fixture.Store.OldRead = Old;
+    const auto Loaded = Fixture.load();
+    CHECK((!Loaded || Loaded->Changes.empty()));
+  }
+}
+
 TEST_CASE("an encoded job change keeps version and specification, an "
           "incomplete one is rejected") {
   JobChange Change{.Job = JobId("a"), .Version = 9};
