A wave is announced as completed after its VMs are stored as done

The list of VMs that are done and the state "completed" are written one after the other. If a VM was done in the round that announced the wave (its command was rejected), the list was not written again; if its write failed, nothing repeated it, since a completed wave is not looked at any more. A write without an answer could be carried out after the next one and replace it. A next holder that reads such a list drains and takes down VMs that are done.

Change: the announcement waits until the list is stored; the list is written at the version at which its row is known.

--- a/packages/site/src/vmcoordinator.h
+++ b/packages/site/src/vmcoordinator.h
@@ -62,7 +62,8 @@
     std::map<VmId, VmProgress> Vms;
     bool Announced = false;
     bool Completed = false;
-    std::size_t StoredDone = 0; ///< Number of VMs stored as done.
+    std::size_t StoredDone = 0;      ///< Number of VMs stored as done.
+    std::int64_t DoneRowVersion = 0; ///< Of the row that lists them.
     Instant NextBlockingLog{};
   };
 
@@ -101,7 +102,8 @@
   void logBlockingTasks(WaveProgress &Wave, Instant Now);
   Async<void> takeDown(WaveProgress &Wave, VmId Vm);
   Async<bool> loadDoneVms(WaveProgress &Wave);
-  Async<void> storeDoneVms(WaveProgress &Wave);
+  /// \returns whether all VMs that are done are stored as such.
+  Async<bool> storeDoneVms(WaveProgress &Wave);
   Async<void> publishState(WaveProgress &Wave, bool Completed);
   const VmRecord *findVm(const VmId &Vm) const;
   void updateMaintenanceDue();
--- a/packages/site/src/vmwaves.cpp
+++ b/packages/site/src/vmwaves.cpp
@@ -168,7 +168,8 @@
   const bool AllDone = std::ranges::all_of(Wave.Vms, [](const auto &Entry) {
     return Entry.second.Stage == WaveStage::Done;
   });
-  if (AllDone)
+  // Another holder would take VMs down again that are not stored as done.
+  if (AllDone && co_await this->storeDoneVms(Wave))
     co_await this->publishState(Wave, true);
 }
 
@@ -260,6 +261,7 @@
   if (!Page)
     co_return false;
   for (const Row &StoredRow : Page->Rows) {
+    Wave.DoneRowVersion = StoredRow.Version;
     std::istringstream Names(StoredRow.Value);
     for (std::string Name; std::getline(Names, Name);)
       if (const auto Found = Wave.Vms.find(VmId(Name));
@@ -272,7 +274,7 @@
   co_return true;
 }
 
-Async<void> VmCoordinator::storeDoneVms(WaveProgress &Wave) {
+Async<bool> VmCoordinator::storeDoneVms(WaveProgress &Wave) {
   std::string Names;
   std::size_t Count = 0;
   for (const auto &[Id, Progress] : Wave.Vms)
@@ -281,16 +283,30 @@
       ++Count;
     }
   if (Count == Wave.StoredDone)
-    co_return;
+    co_return true;
   Transaction Change;
   Change.Preconditions.push_back({epochKey(), this->Deps.Ownership.token()});
+  // An earlier write without an answer may be carried out late, and must not
+  // replace this one.
+  Change.Preconditions.push_back({this->doneVmsKey(Wave), Wave.DoneRowVersion});
   Change.Writes.push_back({this->doneVmsKey(Wave), std::move(Names)});
   const auto Outcome =
       co_await this->Deps.Store.transact(std::move(Change), ProgressTimeout);
-  if (Outcome && Outcome->Applied)
+  if (!Outcome)
+    co_return false;
+  if (Outcome->Applied) {
     Wave.StoredDone = Count;
-  else if (Outcome)
-    this->Deps.Ownership.markSuperseded();
+    Wave.DoneRowVersion = Outcome->Version;
+    co_return true;
+  }
+  for (const Row &Current : Outcome->Conflicts) {
+    if (Current.Id == epochKey() &&
+        Current.Version != this->Deps.Ownership.token())
+      this->Deps.Ownership.markSuperseded();
+    if (Current.Id == this->doneVmsKey(Wave))
+      Wave.DoneRowVersion = Current.Version;
+  }
+  co_return false; // Retried in the next round.
 }
 
 Async<void> VmCoordinator::publishState(WaveProgress &Wave, bool Completed) {
--- a/packages/site/tests/vmevacuation_test.cpp
+++ b/packages/site/tests/vmevacuation_test.cpp
@@ -25,7 +25,10 @@
   Async<Result<RegistrySnapshot>> readRegistry(Duration) override {
     co_return RegistrySnapshot{};
   }
-  Async<Result<void>> publishWave(std::int64_t, bool, Duration) override {
+  Async<Result<void>> publishWave(std::int64_t, bool Completed,
+                                  Duration) override {
+    if (Completed)
+      this->OnWaveCompleted();
     co_return Result<void>();
   }
   Async<Result<void>> publishEvacuation(ZoneId, std::optional<EvacuationState>,
@@ -36,6 +39,7 @@
   readPublishedEvacuations(Duration) override {
     co_return std::map<ZoneId, EvacuationState>{};
   }
+  std::function<void()> OnWaveCompleted = [] {};
 };
 
 /// Lists the given VMs and records the commands.
@@ -52,11 +56,16 @@
   Async<VmCommandOutcome> startMaintenance(VmId Vm, std::int64_t,
                                            VmCommandIssuer, Duration) override {
     this->TakenDown.push_back(Vm);
-    co_return VmCommandOutcome::Accepted;
+    if (this->MaintenanceOutcomes.empty())
+      co_return VmCommandOutcome::Accepted;
+    const VmCommandOutcome Outcome = this->MaintenanceOutcomes.front();
+    this->MaintenanceOutcomes.pop_front();
+    co_return Outcome;
   }
   std::vector<VmRecord> Vms;
   std::set<VmId> Moved;
   std::vector<VmId> TakenDown;
+  std::deque<VmCommandOutcome> MaintenanceOutcomes; ///< Then Accepted.
 };
 
 /// A pool in need of VMs, and a standby pool with two VMs in each zone.
@@ -165,3 +174,43 @@
   CHECK(Site.Vms.TakenDown[0] == VmId("v3"));
   Site.stop();
 }
+
+TEST_CASE("a wave is announced as completed only once its VMs are stored as "
+          "done") {
+  // Guards against a next holder that takes VMs of a completed wave down again:
+  // the list of VMs that are done was not stored, or an older one, without an
+  // answer, was stored after it.
+  CoordinatorFixture Site;
+  Site.Vms.Vms.clear();
+  for (const char *Id : {"v1", "v2"})
+    Site.addVm(Id, PoolId("standby"), Zone1);
+  // Rejected: done without a reboot. The second VM is done a round later.
+  Site.Vms.MaintenanceOutcomes = {VmCommandOutcome::Rejected,
+                                  VmCommandOutcome::NotExecuted,
+                                  VmCommandOutcome::Rejected};
+  SUBCASE("all writes are answered") {}
+  SUBCASE("the first write fails") {
+    Site.Store.Faults = {CallFault::None, CallFault::NotDone};
+  }
+  SUBCASE("the first write is carried out late") {
+    Site.Store.Faults = {CallFault::None, CallFault::Late};
+  }
+  std::string StoredAtCompletion = "not completed";
+  const RowKey Key{"waves", epochKey().Partition, "1"};
+  Site.Source.OnWaveCompleted = [&] {
+    StoredAtCompletion = Site.Store.Rows[Key].Value;
+    Site.Store.applyLate();
+  };
+  Site.Store.Version = Site.Ownership.token();
+  Site.Store.Rows[epochKey()] = {epochKey(), "", Site.Ownership.token()};
+  Site.Coordinator->addWaves({{.Number = 1,
+                               .Vms = {VmId("v1"), VmId("v2")},
+                               .Period = seconds(600),
+                               .MaxConcurrent = 2}});
+  Site.start();
+  Site.runFor(milliseconds(2500));
+  CHECK(StoredAtCompletion == "v1\nv2\n");
+  CHECK(Site.Store.Rows[Key].Value == "v1\nv2\n");
+  CHECK_FALSE(Site.Ownership.isLost());
+  Site.stop();
+}
