A start that another process accepts resets the lease of the upstream

Cause: the expiry of a lease is a time on the upstream's clock, which starts anew with each process. The holder reckons it on the clock in the last listing. It gave the upstream up 5 s after the start and started the task elsewhere.

Evidence: the record of the case has the start accepted with 200 by the new process, and the second start about 5 s later; the new test reproduces it with the link alone (given up 5.0 s after the acceptance, its lease may last 6.1 s). Ruled out: a lease of an earlier holder (there is one holder), a late start (it is answered at once), a list of VMs that ends the run (the upstream is given up by its link).

Fix: each answer to a start names the clock of the process that answers. If that lies behind what the known process can show, another process has accepted the start: the link forgets the clock, waits for leases as after a restart that a listing shows, and polls at once, which tells of the restart without waiting for the end of the hanging poll. Why it works: no lease is reckoned on the clock of an ended process once the next one has accepted anything with an answer.

--- a/packages/site/include/sardinerill/site/iupstreamclient.h
+++ b/packages/site/include/sardinerill/site/iupstreamclient.h
@@ -39,13 +39,19 @@
   RunListing Listing;
 };
 
+struct StartReply {
+  StartOutcome Outcome = StartOutcome::Unknown;
+  /// Clock of the process that answered, in milliseconds, if the answer has it.
+  std::optional<std::int64_t> ClockMs;
+};
+
 class IUpstreamClient {
 public:
   virtual ~IUpstreamClient() = default;
   virtual Async<PollResponse> poll(PollRequest Request, Duration Timeout) = 0;
-  virtual Async<StartOutcome> start(StartCommand Start, std::int64_t Token,
-                                    std::int64_t LeaseUntilMs,
-                                    Duration Timeout) = 0;
+  virtual Async<StartReply> start(StartCommand Start, std::int64_t Token,
+                                  std::int64_t LeaseUntilMs,
+                                  Duration Timeout) = 0;
   virtual Async<StopOutcome> stop(StopCommand Stop, std::int64_t Token,
                                   Duration Timeout) = 0;
   virtual Async<bool> setPace(PaceCommand Pace, std::int64_t Token,
--- a/packages/site/src/upstreamlease.cpp
+++ b/packages/site/src/upstreamlease.cpp
@@ -20,6 +20,10 @@
 constexpr double MaxLeaseFraction = 0.97;
 /// Safety margin added to the computed time of expiry.
 constexpr milliseconds ExpiryMargin{300};
+/// How far a clock may lag behind its lowest expected reading: answers that
+/// overtake each other and rounding. Less than ExpiryMargin, so that a lease is
+/// never longer than expected by more than that.
+constexpr milliseconds ClockTolerance{50};
 
 } // namespace
 
@@ -53,6 +57,16 @@
   this->ClockReadAt = Now;
 }
 
+bool UpstreamLease::isOtherClock(std::int64_t Clock, Instant SentAt) const {
+  if (!this->ClockKnown)
+    return false;
+  const double Elapsed =
+      SlowestClockRate *
+      double((SentAt - this->ClockReadAt - Duration(ClockTolerance)).count());
+  // Elapsed is in microseconds.
+  return double(Clock) < double(this->ClockMs) + Elapsed / 1000;
+}
+
 std::int64_t UpstreamLease::extend(Instant Now) {
   const auto Ahead = std::chrono::duration_cast<milliseconds>(
       Now - this->ClockReadAt + this->LeaseDuration);
--- a/packages/site/src/upstreamlease.h
+++ b/packages/site/src/upstreamlease.h
@@ -30,6 +30,9 @@
   bool clockKnown() const { return this->ClockKnown; }
   /// Records the upstream's clock from an answer that arrived at \p Now.
   void recordClock(std::int64_t ClockMs, Instant Now);
+  /// \returns whether an answer to a call sent at \p SentAt, with \p ClockMs,
+  /// is certainly not from the process whose clock is known.
+  bool isOtherClock(std::int64_t ClockMs, Instant SentAt) const;
   /// Extends the lease. \returns its new expiry on the upstream's clock, which
   /// must be sent at \p Now.
   std::int64_t extend(Instant Now);
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -82,6 +82,10 @@
 
 void UpstreamLink::followRestart(std::int64_t IncarnationStartMs) {
   this->adoptIncarnation(IncarnationStartMs);
+  this->pollNow();
+}
+
+void UpstreamLink::pollNow() {
   // The poll under way was sent to the process that has ended.
   spawn(this->Context->Executor, "upstream-poll",
         [Self = this->shared_from_this()]() -> Async<void> {
@@ -89,6 +93,23 @@
         });
 }
 
+void UpstreamLink::expectRestart(std::int64_t ClockMs) {
+  logEvent(LogLevel::Warning, "upstream.clock_behind",
+           {{"upstream", this->Report.Id.str()},
+            {"clock_ms", std::to_string(ClockMs)}});
+  this->resetLease(this->Context->Clock.now());
+  this->pollNow();
+}
+
+void UpstreamLink::resetLease(Instant Now) {
+  this->Lease =
+      UpstreamLease(this->Context->Bounds,
+                    std::max(this->Context->InheritedLeasesExpireAt,
+                             Now + UpstreamLease::maxTimeToExpiryAfterRestart(
+                                       this->Context->Bounds)),
+                    Now);
+}
+
 void UpstreamLink::adoptIncarnation(std::int64_t IncarnationStartMs) {
   const Instant Now = this->Context->Clock.now();
   this->Report.IncarnationStartMs = IncarnationStartMs;
@@ -99,12 +120,7 @@
   // Listings that were requested before may not contain what the new process
   // has accepted since.
   this->NewestListingSentAt = Now;
-  this->Lease =
-      UpstreamLease(this->Context->Bounds,
-                    std::max(this->Context->InheritedLeasesExpireAt,
-                             Now + UpstreamLease::maxTimeToExpiryAfterRestart(
-                                       this->Context->Bounds)),
-                    Now);
+  this->resetLease(Now);
 }
 
 void UpstreamLink::applyAnswer(const PollResponse &Answer, Instant SentAt,
@@ -245,18 +261,21 @@
 
 Async<void> UpstreamLink::sendStart(StartCommand Start) {
   const Instant Now = this->Context->Clock.now();
-  StartOutcome Outcome = StartOutcome::Refused; // If nothing is sent.
+  StartReply Reply{.Outcome = StartOutcome::Refused}; // If nothing is sent.
   const RunId Run = Start.Run;
   const Duration ConfirmAfter = Start.ConfirmAfter;
   if (this->isActive() && this->Context->Ownership.maySendCommands(Now) &&
       this->Lease.clockKnown()) {
     const std::int64_t LeaseUntilMs = this->Lease.extend(Now);
-    Outcome = co_await this->Client->start(std::move(Start),
-                                           this->Context->Ownership.token(),
-                                           LeaseUntilMs, StartTimeout);
+    Reply = co_await this->Client->start(std::move(Start),
+                                         this->Context->Ownership.token(),
+                                         LeaseUntilMs, StartTimeout);
   }
   if (this->Context->Stopped)
     co_return;
+  if (Reply.ClockMs && this->Lease.isOtherClock(*Reply.ClockMs, Now))
+    this->expectRestart(*Reply.ClockMs);
+  const StartOutcome Outcome = Reply.Outcome;
   if (Outcome == StartOutcome::Superseded)
     this->Context->Ownership.markSuperseded();
   this->Context->JobScheduler.handleStartOutcome(this->Report.Id, Run, Outcome,
--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -54,8 +54,16 @@
   /// \returns whether the upstream has answered with a listing.
   Async<bool> fetchListing();
   Async<bool> pollOnce();
+  /// Polls at once, beside the poll under way.
+  void pollNow();
   Async<void> sendPace(PaceCommand Pace);
   void adoptIncarnation(std::int64_t IncarnationStartMs);
+  /// Continues without a known clock after an answer with \p ClockMs, which is
+  /// not that of the known process. The next listing says which one answers.
+  void expectRestart(std::int64_t ClockMs);
+  /// Forgets the clock and waits for leases that were reckoned on it, after
+  /// another process has been started.
+  void resetLease(Instant Now);
   /// \param Timeout of the poll.
   void applyAnswer(const PollResponse &Answer, Instant SentAt,
                    Duration Timeout);
--- a/packages/site/tests/evacuationfakes.h
+++ b/packages/site/tests/evacuationfakes.h
@@ -76,10 +76,10 @@
       Answer.Listing.Active.push_back({.Run = Run});
     co_return Answer;
   }
-  Async<StartOutcome> start(StartCommand Start, std::int64_t, std::int64_t,
-                            Duration) override {
+  Async<StartReply> start(StartCommand Start, std::int64_t, std::int64_t,
+                          Duration) override {
     this->Started.push_back(Start.Run);
-    co_return StartOutcome::Accepted;
+    co_return StartReply{StartOutcome::Accepted};
   }
   Async<StopOutcome> stop(StopCommand, std::int64_t, Duration) override {
     co_return StopOutcome::Acknowledged;
--- a/packages/site/tests/upstreamlease_test.cpp
+++ b/packages/site/tests/upstreamlease_test.cpp
@@ -68,3 +68,27 @@
     }
   }));
 }
+
+TEST_CASE("property: an answer of the known process is never taken for that of "
+          "another one, and a clock that makes a lease longer always is") {
+  // A lease reckoned on the clock of one process and applied by the next may
+  // last for the longest time allowed.
+  CHECK(rc::check([] {
+    const double Rate = *rc::gen::inRange(980, 1050) / 1000.0;
+    const std::int64_t Known = *rc::gen::inRange(0, 1000000);
+    // In ms: delays of the two answers, and the time from the first answer
+    // until the second call.
+    const std::int64_t FirstDelay = *rc::gen::inRange(0, 500);
+    const std::int64_t SecondDelay = *rc::gen::inRange(0, 500);
+    const std::int64_t Between = *rc::gen::inRange(0, 2000);
+    UpstreamLease Lease(Bounds, at(0), at(0));
+    RC_ASSERT(!Lease.isOtherClock(0, at(0)));
+    Lease.recordClock(Known, at(0));
+    const auto Clock =
+        Known + std::int64_t(Rate * double(FirstDelay + Between + SecondDelay));
+    RC_ASSERT(!Lease.isOtherClock(Clock, at(Between)));
+    // The safety margin covers a clock that lags by up to 300 ms.
+    const std::int64_t Lag = *rc::gen::inRange(300, 1000000);
+    RC_ASSERT(Lease.isOtherClock(Known + Between - Lag, at(Between)));
+  }));
+}
--- a/packages/site/tests/upstreamlink_test.cpp
+++ b/packages/site/tests/upstreamlink_test.cpp
@@ -14,9 +14,9 @@
   Async<PollResponse> poll(PollRequest, Duration) override {
     co_return PollResponse{};
   }
-  Async<StartOutcome> start(StartCommand, std::int64_t, std::int64_t,
-                            Duration) override {
-    co_return StartOutcome::Refused;
+  Async<StartReply> start(StartCommand, std::int64_t, std::int64_t,
+                          Duration) override {
+    co_return StartReply{StartOutcome::Refused};
   }
   Async<StopOutcome> stop(StopCommand, std::int64_t, Duration) override {
     ++this->Stops;
--- a/packages/site/tests/upstreamrestart_test.cpp
+++ b/packages/site/tests/upstreamrestart_test.cpp
@@ -23,6 +23,7 @@
   std::vector<ActiveRun> Active;
   std::vector<EndedRun> Ended; ///< Those that are acknowledged are forgotten.
   StartOutcome Start = StartOutcome::Accepted;
+  std::optional<std::int64_t> StartClockMs; ///< Clock in the answer to a start.
   bool StartMayAnswer = true;
   bool StopMayAnswer = true;
   std::function<void()> OnPoll = [] {};
@@ -51,11 +52,11 @@
                                        .Active = this->Answers.Active,
                                        .Ended = this->Answers.Ended}};
   }
-  Async<StartOutcome> start(StartCommand, std::int64_t, std::int64_t,
-                            Duration) override {
+  Async<StartReply> start(StartCommand, std::int64_t, std::int64_t,
+                          Duration) override {
     while (!this->Answers.StartMayAnswer)
       co_await sleepFor(milliseconds(1));
-    co_return this->Answers.Start;
+    co_return StartReply{this->Answers.Start, this->Answers.StartClockMs};
   }
   Async<StopOutcome> stop(StopCommand, std::int64_t, Duration) override {
     while (!this->Answers.StopMayAnswer)
@@ -140,6 +141,20 @@
     }
     return Stops;
   }
+  /// Lets the upstream stay silent until it is given up. \returns when the last
+  /// poll before that ended.
+  Instant waitForLoss(Duration PollTime = milliseconds(500)) {
+    Instant LostAt{};
+    this->Answers.Silent = true;
+    this->Answers.SilentPollTime = PollTime;
+    this->Answers.OnPoll = [&] {
+      this->Ownership.recordRenewal(this->Clock.now());
+      LostAt = this->Clock.now();
+    };
+    for (int Round = 0; Round < 400 && !this->Link->isClosed(); ++Round)
+      this->wait(milliseconds(100));
+    return LostAt;
+  }
   int runs() { return this->JobScheduler.loadOf(Id, this->Clock.now()).Runs; }
 };
 
@@ -216,20 +231,39 @@
   Fixture.Answers.Born = 2;
   Fixture.wait();
   const Instant RestartKnownAt = Fixture.Clock.now();
-  Fixture.Answers.Silent = true;
-  Instant LostAt{};
-  Fixture.Answers.OnPoll = [&] {
-    Fixture.Ownership.recordRenewal(Fixture.Clock.now());
-    LostAt = Fixture.Clock.now();
-  };
-  Fixture.Answers.SilentPollTime = seconds(4);
-  for (int Round = 0; Round < 40 && !Fixture.Link->isClosed(); ++Round)
-    Fixture.wait(milliseconds(100));
+  const Instant LostAt = Fixture.waitForLoss(seconds(4));
   CHECK(Fixture.Link->isClosed());
   CHECK(LostAt - RestartKnownAt > seconds(12) + milliseconds(6122));
   CHECK(LostAt - RestartKnownAt < seconds(30));
 }
 
+TEST_CASE("an upstream is not given up while the process that has accepted a "
+          "start may run it") {
+  // Guards against a task that runs twice: the next process of an upstream
+  // accepted a start and was cut off before anything else showed the restart.
+  // The expiry sent with the start is on the clock of the process before, and
+  // means the longest lease on that of the next one.
+  LinkFixture Fixture;
+  Fixture.Answers.StartClockMs = 5;
+  Fixture.Answers.NextPollHangs = true; // It was sent to the old process.
+  Fixture.Answers.Silent = true;
+  const Instant AcceptedAt = Fixture.Clock.now();
+  const Instant LostAt = Fixture.waitForLoss();
+  CHECK(Fixture.Link->isClosed());
+  CHECK(LostAt - AcceptedAt > milliseconds(6122));
+  CHECK(LostAt - AcceptedAt < seconds(30));
+}
+
+TEST_CASE("a start that the known process accepts extends no wait") {
+  // Guards against tasks of an upstream that is merely cut off which wait for
+  // the longest lease.
+  LinkFixture Fixture;
+  Fixture.Answers.StartClockMs = 1000;
+  Fixture.Answers.Silent = true;
+  const Instant AcceptedAt = Fixture.Clock.now();
+  CHECK(Fixture.waitForLoss() - AcceptedAt < milliseconds(6122));
+}
+
 TEST_CASE("an upstream whose VM went down is not given up while the next "
           "process may run what was sent to it") {
   // The VM list fails after it has shown the VM as down, so that only leases
