--- a/review/10/case.py
+++ b/review/10/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lab-2"))
 import lab  # noqa: E402
 
-WORKERS, ADMITTED = 48, 3
+WORKERS, ADMITTED = 64, 3
 TRAFFIC_S = 40.0
 
 
