--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,62 +1,89 @@
-"""A lasting job whose tasks keep failing, beside ordinary jobs. See claim.txt."""
+"""A worker crashes silently and starts again under its id, accepts a start, and is cut off; the
+daemon that gave the start is killed. See claim.txt."""
 
 import asyncio
+import base64
+import json
 import os
+import signal
 import sys
-import time
-
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lab-2"))
-import lab  # noqa: E402
-
-LASTING_TASKS = 24
-TRAFFIC_S = 80.0
-
-
-def fate_of(site, failing):
-    ordinary = type(site).fate
-
-    def fate(task, run):
-        job = site.jobs[task.split(".")[0]]
-        if job is failing["job"]:
-            return ("failed", 0.02) if lab.TROUBLE else ("failed", 1000.0)
-        return "done", 0.3
-    return fate
-
-
-async def play(site):
-    failing = {"job": None}
-    site.fate = fate_of(site, failing)
-    failing["job"] = job = site.new_job("qa", "t0", [
-        {"count": LASTING_TASKS, "cpu": 100, "long-running": True}])
-    await site.submit(job)
-    site.note(f"lasting job {job.id} accepted; its tasks {'fail' if lab.TROUBLE else 'work'}")
-    begun, ordinary, refused_at, shown = time.monotonic(), [], None, 0.0
-    while time.monotonic() < begun + TRAFFIC_S:
-        each = site.new_job("qa", "t1", [{"count": 2, "cpu": 500}, {"count": 2, "cpu": 500,
-                                                                   "after": [0]}])
-        if await site.submit(each, tries=3):
-            ordinary.append(each)
-        if site.table.refused and refused_at is None:
-            refused_at = time.monotonic()
-            site.note("the table refuses a row of more than row-bytes for the first time")
-        if time.monotonic() > shown + 5:
-            shown = time.monotonic()
-            sizes = [len(v) * 3 // 4 for k, (_, v) in site.table.rows.items()
-                     if k[0] == "progress" and k[2] == job.id]
-            ends = sum(len(u.ends) for u in site.upstreams)
-            site.note(f"progress row of the lasting job: {max(sizes, default=0)} bytes; ends not "
-                      f"taken note of: {ends}; calls refused: {site.table.refused}; failed runs: "
-                      f"{site.checks.counts['ends failed']}")
-        await asyncio.sleep(0.25)
-    over = time.monotonic()
-    site.note(f"end of the traffic; {len(ordinary)} ordinary jobs accepted")
-    await asyncio.sleep(site.bounds["finish_s"])
-    broken, open_jobs = await site.idle_jobs(ordinary, over + site.bounds["finish_s"] + 6)
-    site.note(f"{len(open_jobs)} of {len(ordinary)} accepted ordinary jobs are not shown as "
-              f"completed {time.monotonic() - over:.0f} s after the end of the traffic")
-    site.note(f"{len(broken)} of them have nothing running for over 3 s although the "
-              "upstreams are nearly empty (rule LOST)")
-    return 1 if broken else 0
-
-
-lab.main(play)
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lab"))
+from lab import HEARTBEAT_S, Job, Lab, TROUBLE, Worker, run_case  # noqa: E402
+
+LABEL = "b"
+STEPS = [{"count": 1, "cpu": 1000, "mem-mb": 512, "estimate-ms": 30000, "work_s": 30.0,
+          "node-selector": LABEL}]
+DOWN_S, CUT_S, BACK_S = 0.5, 5.5, 0.5
+
+
+def make():
+    lab = Lab()
+    lab.twice = []
+    started = lab.started
+
+    def watch(worker, run):
+        for entry in lab.history.get(run.task, []):
+            if entry[3] is None:
+                lab.twice.append((lab.now(), run.task, run.number, entry[2].number))
+                lab.record("TWICE", task=run.task, run=run.number, on=worker.id,
+                           beside=entry[2].number, at=entry[1].id)
+        started(worker, run)
+    lab.started = watch
+    return lab
+
+
+def holder_of(lab):
+    _, value = lab.table.rows["ownership", "o", "site"]
+    name = json.loads(base64.b64decode(value))["holder"]
+    return next(daemon for daemon in lab.daemons if daemon.name == name)
+
+
+async def play(lab):
+    workers = [Worker(lab, i, lab.zones[i % 3], "intake") for i in range(6)]
+    fresh = Worker(lab, 8, "superior", "intake", labels=[LABEL, "r2"])
+    other = Worker(lab, 9, "huron", "intake", labels=[LABEL, "r3"])
+    await lab.open({"weigh": ("intake", 4)}, workers)
+    workers.append(fresh)
+    await fresh.begin()
+    await asyncio.sleep(3.0)
+    holder = holder_of(lab)
+    if TROUBLE:
+        lab.record("trouble", what="a worker crashes silently and starts again under its id",
+                   worker=fresh.id)
+        fresh.server.silence()
+        fresh.state = "down"
+        await asyncio.sleep(DOWN_S)
+        await fresh.begin(same_id=True)
+        fresh.registers_at = lab.now() + HEARTBEAT_S
+    job = Job("weigh", STEPS)
+    if not await lab.submit(job):
+        raise RuntimeError("the job is not accepted")
+    for _ in range(100):
+        if fresh.runs:
+            break
+        await asyncio.sleep(0.01)
+    else:
+        raise RuntimeError("the worker got no start")
+    if TROUBLE:
+        await asyncio.sleep(0.1)
+        lab.record("trouble", what="the worker is cut off and runs on", s=CUT_S)
+        fresh.server.cut_off(True)
+        fresh.registers_at = lab.now() + CUT_S
+        lab.record("trouble", what="the daemon that gives the orders is killed", daemon=holder.name)
+        holder.signal(signal.SIGKILL)
+    workers.append(other)
+    await other.begin()
+    if TROUBLE:
+        await asyncio.sleep(BACK_S)
+        await holder.start()
+    await asyncio.sleep(CUT_S - BACK_S)
+    if TROUBLE:
+        fresh.server.cut_off(False)
+        lab.record("trouble.end", what="the worker is reached again")
+    await asyncio.sleep(6.0)
+    text = f"{len(lab.twice)} times a task was started while another run of it was at work (TWICE)"
+    return bool(lab.twice), text
+
+
+run_case(__file__, make, play)
--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -25,6 +25,7 @@
 PROGRAM = os.path.join(ROOT, "target/packages/daemon/sardinerilld")
 ARGUMENTS = ["--platform", "--policy", "deploy/policy.yaml"]
 ROW_BYTES, CALL_BYTES = 65536, 1000000
+LIMIT_S = 112  # Of a whole run.
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -282,10 +283,14 @@
         print("the daemon has not been built")
         return 2
     out = tempfile.mkdtemp(prefix="review-")
-    lab = Lab(out, **options)
+    lab, status = Lab(out, **options), 2
     try:
-        await lab.open()
-        status = await play(lab) if await lab.wait_until_ready() else 2
+        async with asyncio.timeout(LIMIT_S):
+            await lab.open()
+            if await lab.wait_until_ready():
+                status = await play(lab)
+    except Exception as error:  # pylint: disable=broad-except
+        print(f"the case could not run: {type(error).__name__}: {error}")
     finally:
         await lab.close()
         shutil.copyfile(f"{out}/events.log", f"{folder}/record.txt")
@@ -298,4 +303,8 @@
 
 
 def main(play, **options):
+    def interrupt(*_):
+        raise KeyboardInterrupt  # So that all processes are ended.
+
+    signal.signal(signal.SIGTERM, interrupt)
     sys.exit(asyncio.run(run_case(play, **options)))
