--- a/review/10/case.py
+++ b/review/lab-2/more/advised_pool.py
@@ -1,4 +1,4 @@
-"""A queue whose policy allows each step on some workers of a large pool. See claim.txt."""
+"""A queue whose policy allows each step on some workers of a large pool."""
 
 import asyncio
 import os
@@ -6,7 +6,7 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lab-2"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import lab  # noqa: E402
 
 WORKERS, ADMITTED = 64, 3
