--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lab-2"))
 import lab  # noqa: E402
 
-JOBS, TASKS, CPU = 72, 20, 100  # The workers have 64 cores: 640 such tasks each.
+JOBS, TASKS, CPU, MEM = 72, 20, 25, 48  # The workers have 16 cores: 640 such tasks each.
 KILL_AT, ENDS_WITHIN_S = 9.0, 1.0
 
 
@@ -19,7 +19,7 @@
     site.fate = lambda task, run: ("done", begun + KILL_AT + 0.1 - time.monotonic() +
                                    rng.uniform(0, ENDS_WITHIN_S)
                                    if time.monotonic() < begun + KILL_AT else 0.5)
-    jobs = [site.new_job("qa", "t1", [{"count": TASKS, "cpu": CPU, "estimate-ms": 4000}])
+    jobs = [site.new_job("qa", "t1", [{"count": TASKS, "cpu": CPU, "mem-mb": MEM, "estimate-ms": 4000}])
             for _ in range(JOBS)]
     for job in jobs:
         site.spawn(site.submit(job))
@@ -58,4 +58,4 @@
     return 1 if twice else 0 if len(states) == len(jobs) else 2
 
 
-lab.main(play, upstreams=4, cpu=64000)
+lab.main(play, upstreams=4)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,7 +9,14 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lab"))
-from lab import HEARTBEAT_S, Job, Lab, TROUBLE, Worker, run_case  # noqa: E402
+from lab import BOUNDS, HEARTBEAT_S, Job, Lab, TROUBLE, Worker, run_case  # noqa: E402
+
+# Of the site fleece-ops-grown, where they differ from fleece-ops.
+BOUNDS.update({
+    "contact-ms": 4000, "ack-ms": 6000, "catch-up-s": 6, "drain-ms": 3000, "config-apply-ms": 3000,
+    "max-skew-ms": 6000, "recovery-s": 15, "stop-timeout-ms": 400, "gang-timeout-ms": 4000,
+    "cancel_ms": 4000, "far-factor": 1.5, "checkpoint-s": 2, "restore-ms": 600, "notice-ms": 5500,
+    "interference-ms": 4500})
 
 LABEL = "b"
 STEPS = [{"count": 1, "cpu": 1000, "mem-mb": 512, "estimate-ms": 30000, "work_s": 30.0,
--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -26,6 +26,12 @@
 ARGUMENTS = ["--platform", "--policy", "deploy/policy.yaml"]
 ROW_BYTES, CALL_BYTES = 65536, 1000000
 LIMIT_S = 112  # Of a whole run.
+# Workers and bounds of the site fleece-ops-grown, as `fleetbench wire` prints the latter.
+WORKER = {"cpu": 16000, "mem-mb": 32768, "gpu": 0}
+soak.BOUNDS.update({
+    "contact-ms": 4000, "ack-ms": 6000, "drain-ms": 3000, "config-apply-ms": 3000,
+    "max-skew-ms": 6000, "max-hold-ms": 10000, "gang-timeout-ms": 4000, "cancel_ms": 4000,
+    "checkpoint-s": 2, "restore-ms": 600, "notice-ms": 5500})
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -99,8 +105,8 @@
     def write_settings(self, extra=""):
         return super().write_settings(
             f"advisor-address={self.advisor_address}\n"
-            f"platform.row-bytes={ROW_BYTES}\nplatform.writes-per-s=600\n"
-            "platform.reads-per-s=2000\nplatform.history-s=20\n" + extra)
+            f"platform.row-bytes={ROW_BYTES}\nplatform.writes-per-s=1200\n"
+            "platform.reads-per-s=6000\nplatform.history-s=20\n" + extra)
 
     async def start(self):
         path = self.write_settings()
@@ -142,7 +148,7 @@
 class Lab(soak.Site):
     """Several daemons and upstreams without the soak's own faults and callers."""
 
-    def __init__(self, out, daemons=3, upstreams=6, cpu=16000, seed=1,
+    def __init__(self, out, daemons=3, upstreams=6, seed=1,
                  advised=(), pool_of=lambda index: "pa"):
         self.record_file = None
         super().__init__(SimpleNamespace(seed=seed, seconds=0, daemons=daemons, upstreams=upstreams,
@@ -163,7 +169,7 @@
         self.zone_of = {d.name: d.zone for d in self.daemons} | {
             u.machine: u.zone for u in self.upstreams}
         for upstream in self.upstreams:
-            upstream.capacity = {"cpu": cpu, "mem-mb": 131072, "gpu": 0}
+            upstream.capacity = dict(WORKER)
         self.random = random.Random(seed)
 
     def tickets_for(self, step, workers):
