No process of an upstream is sent a lease on the clock of another one

The next holder started the task again 5.2 s after the kill, while the first run was at work.

Cause: the expiry of a lease is reckoned on the clock of one process, but the call that carries it names only the id. The start opened a new connection, which led to the new process; there the expiry meant the longest lease allowed (10 s instead of 4.2 s). The next holder waits for the usual one.

Evidence, untouched code: upstream.clock_behind clock_ms=10 after the start, holder.started inherited_leases_until_ms=4579, second start 4.6 s after the claim, run.adopted .../1 when the upstream was reached again. Ruled out: a successor that does not wait, a start carried out late, the VM list.

Change: a link remembers the newest connection on which the known process has answered. Calls with a lease or with numbers of ended runs are sent only on connections made until then; without an idle one, the upstream is asked for a listing on a new connection first. Every lease so lasts for the usual time, and what a successor assumes is right without anything being stored.

The tests failed before: 5200 <= 4592 for a start and for a poll; an end of the new process acknowledged by the number of an old one.

--- a/packages/http/include/sardinerill/http/httpclient.h
+++ b/packages/http/include/sardinerill/http/httpclient.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 /// \file
 /// HTTP/1.1 client for one peer that reuses connections.
@@ -35,9 +36,13 @@
   /// \param Timeout time from now within which the response must be complete.
   /// \param MaySend checked immediately before the request is written, since
   /// connecting takes time; if it returns false, the call fails with NotSent.
+  /// \param NewestConnection if set, the request is sent only on an idle
+  /// connection with at most this number; without one the call fails with
+  /// NoConnection.
   Async<tl::expected<HttpResponse, HttpCallError>>
   call(HttpRequest Request, Duration Timeout,
-       std::function<bool()> MaySend = nullptr);
+       std::function<bool()> MaySend = nullptr,
+       std::optional<ConnectionNumber> NewestConnection = std::nullopt);
   const Endpoint &peer() const;
   /// Closes the idle connections.
   void closeIdleConnections();
--- a/packages/http/include/sardinerill/http/httptypes.h
+++ b/packages/http/include/sardinerill/http/httptypes.h
@@ -5,6 +5,7 @@
 #include <utility> // Must precede Asio of Boost 1.74 with g++ 12 in C++20.
 
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -33,18 +34,24 @@
   std::string header(std::string_view Name) const;
 };
 
+/// Numbers the connections of one client in the order in which they were made,
+/// from 1.
+using ConnectionNumber = std::int64_t;
+
 struct HttpResponse {
   int Status = 0;
   std::vector<HttpHeader> Headers;
   std::string Body;
+  ConnectionNumber Connection = 0; ///< Which delivered it.
 };
 
 /// Reasons why a call got no complete response.
 enum class HttpCallError {
   ConnectionRefused, ///< The peer refused the connection: nothing listens
                      ///< there.
-  NotSent,    ///< No connection was made in time: the peer received nothing.
-  NoResponse, ///< Sent at least in part: the peer may have acted on it.
+  NotSent,      ///< No connection was made in time: the peer received nothing.
+  NoConnection, ///< Nothing was sent: no open connection may be used.
+  NoResponse,   ///< Sent at least in part: the peer may have acted on it.
 };
 
 /// An IPv4 address with a port.
--- a/packages/http/src/httpclient.cpp
+++ b/packages/http/src/httpclient.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <limits>
 #include <netinet/tcp.h>
 
 namespace sardinerill {
@@ -23,7 +24,10 @@
 /// allows (3 s).
 constexpr int UserTimeoutMs = 2000;
 
-using Connection = std::unique_ptr<beast::tcp_stream>;
+struct Connection {
+  std::unique_ptr<beast::tcp_stream> Stream;
+  ConnectionNumber Number = 0;
+};
 
 void setSocketOptions(tcp::socket &Socket) {
   error_code Ignored; // The connection also works without these options.
@@ -58,8 +62,10 @@
   return Out;
 }
 
-HttpResponse fromBeast(http::response<http::string_body> &Response) {
-  HttpResponse Out{.Status = static_cast<int>(Response.result_int())};
+HttpResponse fromBeast(http::response<http::string_body> &Response,
+                       ConnectionNumber Connection) {
+  HttpResponse Out{.Status = static_cast<int>(Response.result_int()),
+                   .Connection = Connection};
   for (const auto &Field : Response)
     Out.Headers.push_back(
         {std::string(Field.name_string()), std::string(Field.value())});
@@ -73,21 +79,28 @@
   asio::any_io_executor Executor;
   HttpClientOptions Options;
   std::deque<Connection> IdleConnections;
-
-  Connection popIdleConnection() {
-    while (!this->IdleConnections.empty()) {
-      Connection Candidate = std::move(this->IdleConnections.back());
-      this->IdleConnections.pop_back();
-      if (!isStale(Candidate->socket()))
+  ConnectionNumber LastNumber = 0;
+
+  /// \returns the idle connection that was used last, of those with at most
+  /// \p Newest as their number.
+  std::optional<Connection> popIdleConnection(ConnectionNumber Newest) {
+    for (auto Next = this->IdleConnections.end();
+         Next != this->IdleConnections.begin();) {
+      --Next;
+      if (Next->Number > Newest)
+        continue;
+      Connection Candidate = std::move(*Next);
+      Next = this->IdleConnections.erase(Next);
+      if (!isStale(Candidate.Stream->socket()))
         return Candidate;
     }
-    return nullptr;
+    return std::nullopt;
   }
 
-  void pushIdleConnection(Connection Stream) {
-    Stream->expires_never();
+  void pushIdleConnection(Connection Idle) {
+    Idle.Stream->expires_never();
     if (this->IdleConnections.size() < this->Options.MaxIdleConnections)
-      this->IdleConnections.push_back(std::move(Stream));
+      this->IdleConnections.push_back(std::move(Idle));
   }
 
   Async<tl::expected<Connection, HttpCallError>> connect(Duration Timeout) {
@@ -105,7 +118,7 @@
     if (EC)
       co_return tl::unexpected(HttpCallError::NotSent);
     setSocketOptions(Stream->socket());
-    co_return Stream;
+    co_return Connection{std::move(Stream), ++this->LastNumber};
   }
 };
 
@@ -126,30 +139,35 @@
 
 Async<tl::expected<HttpResponse, HttpCallError>>
 HttpClient::call(HttpRequest Request, Duration Timeout,
-                 std::function<bool()> MaySend) {
+                 std::function<bool()> MaySend,
+                 std::optional<ConnectionNumber> NewestConnection) {
   auto SharedState = this->Shared; // Outlives the client during the call.
   Request.Headers.push_back({"Host", SharedState->Options.Peer.str()});
   http::request<http::string_body> Message = toBeast(Request);
   const BootClock Clock;
   const Instant Deadline = Clock.now() + Timeout;
-  Connection Stream = SharedState->popIdleConnection();
-  if (!Stream) {
+  std::optional<Connection> Used = SharedState->popIdleConnection(
+      NewestConnection.value_or(std::numeric_limits<ConnectionNumber>::max()));
+  if (!Used && NewestConnection)
+    co_return tl::unexpected(HttpCallError::NoConnection);
+  if (!Used) {
     auto Connected = co_await SharedState->connect(Timeout);
     if (!Connected)
       co_return tl::unexpected(Connected.error());
-    Stream = std::move(*Connected);
+    Used = std::move(*Connected);
   }
+  beast::tcp_stream &Stream = *Used->Stream;
   // Timers don't count the time for which the VM was suspended. If the deadline
   // passed meanwhile, the request is out of date and isn't sent.
   const bool Permitted = !MaySend || MaySend();
   const Duration Remaining = Deadline - Clock.now();
   if (!Permitted || Remaining <= Duration::zero()) {
-    SharedState->pushIdleConnection(std::move(Stream));
+    SharedState->pushIdleConnection(std::move(*Used));
     co_return tl::unexpected(HttpCallError::NotSent);
   }
-  Stream->expires_after(Remaining);
+  Stream.expires_after(Remaining);
   error_code EC;
-  co_await http::async_write(*Stream, Message,
+  co_await http::async_write(Stream, Message,
                              asio::redirect_error(asio::use_awaitable, EC));
   if (EC)
     co_return tl::unexpected(HttpCallError::NoResponse);
@@ -159,14 +177,14 @@
   Buffer.reserve(SharedState->Options.ReadBufferBytes);
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(SharedState->Options.BodyLimit);
-  co_await http::async_read(*Stream, Buffer, Parser,
+  co_await http::async_read(Stream, Buffer, Parser,
                             asio::redirect_error(asio::use_awaitable, EC));
   if (EC)
     co_return tl::unexpected(HttpCallError::NoResponse);
   const bool Reusable = Parser.get().keep_alive() && Buffer.size() == 0;
-  HttpResponse Response = fromBeast(Parser.get());
+  HttpResponse Response = fromBeast(Parser.get(), Used->Number);
   if (Reusable)
-    SharedState->pushIdleConnection(std::move(Stream));
+    SharedState->pushIdleConnection(std::move(*Used));
   co_return Response;
 }
 
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -37,12 +37,14 @@
 
   CallResult call(HttpClient &Client, HttpRequest Request,
                   std::function<bool()> MaySend = nullptr,
-                  Duration Timeout = seconds(5)) {
+                  Duration Timeout = seconds(5),
+                  std::optional<ConnectionNumber> Newest = std::nullopt) {
     std::optional<CallResult> Result;
     asio::co_spawn(
         this->Context,
         [&]() -> Async<void> {
-          Result = co_await Client.call(std::move(Request), Timeout, MaySend);
+          Result = co_await Client.call(std::move(Request), Timeout, MaySend,
+                                        Newest);
         },
         asio::detached);
     while (!Result)
@@ -230,6 +232,28 @@
   CHECK(Requests == 1);
 }
 
+TEST_CASE("a request that is bound to a connection opens no other") {
+  // What is meant for one process of a peer must not reach the next one at the
+  // same address.
+  Loopback Network;
+  int Requests = 0;
+  const auto Server = Network.serve(countingEcho(Requests));
+  HttpClient Client = Network.client(Server->port());
+  const auto CallBound = [&](ConnectionNumber Newest) {
+    return Network.call(Client, post("bound"), nullptr, seconds(5), Newest);
+  };
+  const CallResult Early = CallBound(1);
+  REQUIRE_FALSE(Early.has_value());
+  CHECK((Early.error() == HttpCallError::NoConnection));
+  REQUIRE(Network.call(Client, post("first"))->Connection == 1);
+  CHECK(CallBound(1)->Connection == 1);
+  Client.closeIdleConnections();
+  REQUIRE(Network.call(Client, post("second"))->Connection == 2);
+  CHECK((CallBound(1).error() == HttpCallError::NoConnection));
+  CHECK(CallBound(2)->Connection == 2);
+  CHECK(Requests == 4);
+}
+
 TEST_CASE("a long response is read in few turns of the event loop") {
   // A list of all VMs is about 100 KB. Read 512 bytes at a time beside the load
   // of a peak, it took seconds, and moves of VMs waited for it.
--- a/packages/site/include/sardinerill/site/iupstreamclient.h
+++ b/packages/site/include/sardinerill/site/iupstreamclient.h
@@ -20,6 +20,7 @@
   /// upstream may still run.
   Refused,
   NoAnswer,
+  NoConnection, ///< Nothing was sent: see PollRequest::NewestConnection.
 };
 
 /// Long-polls for the end of runs and optionally renews the upstream's lease.
@@ -32,15 +33,33 @@
   std::optional<std::int64_t> LeaseUntilMs;
   /// The upstream answers as soon as a run ends, or after this time.
   Duration Wait{};
+  /// If set, the request is sent only on an open connection with at most this
+  /// number. A connection leads to one process: of those that were made before
+  /// a process has answered, none leads to the next one under the same id.
+  std::optional<ConnectionNumber> NewestConnection;
 };
 
 struct PollResponse {
   PollOutcome Outcome = PollOutcome::NoAnswer;
   RunListing Listing;
+  ConnectionNumber Connection = 0; ///< Which delivered the answer.
+};
+
+/// A start command and the lease that comes with it.
+struct StartRequest {
+  StartCommand Command;
+  std::int64_t Token = 0; ///< Fencing token of the sender.
+  /// New expiry of the lease, on the upstream's clock.
+  std::int64_t LeaseUntilMs = 0;
+  /// As PollRequest::NewestConnection; always required, because the expiry is
+  /// on the clock of one process.
+  ConnectionNumber NewestConnection = 0;
 };
 
 struct StartReply {
   StartOutcome Outcome = StartOutcome::Unknown;
+  /// Nothing was sent: see StartRequest::NewestConnection.
+  bool NoConnection = false;
   /// Clock of the process that answered, in milliseconds, if the answer has it.
   std::optional<std::int64_t> ClockMs;
 };
@@ -49,9 +68,7 @@
 public:
   virtual ~IUpstreamClient() = default;
   virtual Async<PollResponse> poll(PollRequest Request, Duration Timeout) = 0;
-  virtual Async<StartReply> start(StartCommand Start, std::int64_t Token,
-                                  std::int64_t LeaseUntilMs,
-                                  Duration Timeout) = 0;
+  virtual Async<StartReply> start(StartRequest Request, Duration Timeout) = 0;
   virtual Async<StopOutcome> stop(StopCommand Stop, std::int64_t Token,
                                   Duration Timeout) = 0;
   virtual Async<bool> setPace(PaceCommand Pace, std::int64_t Token,
--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds AnswerMargin{600};
 /// Timeout of a poll that the upstream answers at once, such as the first one.
 constexpr milliseconds ImmediatePollTimeout{500};
+/// Time within which a start that needs a new connection is sent or given up.
+/// Less than the time for which the scheduler expects a start to be delayed.
+constexpr milliseconds NewConnectionTimeout{200};
 /// Timeouts of commands; an upstream answers within a few milliseconds.
 constexpr milliseconds StartTimeout{500};
 constexpr milliseconds StopTimeout{400};
@@ -89,7 +92,7 @@
   // The poll under way was sent to the process that has ended.
   spawn(this->Context->Executor, "upstream-poll",
         [Self = this->shared_from_this()]() -> Async<void> {
-          co_await Self->pollOnce();
+          co_await Self->pollOnce(ImmediatePollTimeout);
         });
 }
 
@@ -102,6 +105,7 @@
 }
 
 void UpstreamLink::resetLease(Instant Now) {
+  this->KnownConnection = 0;
   this->Lease =
       UpstreamLease(this->Context->Bounds,
                     std::max(this->Context->InheritedLeasesExpireAt,
@@ -142,6 +146,7 @@
                                           : this->Report.IncarnationStartMs;
     this->UnansweredPolls = 0;
     this->Lease.recordClock(Answer.Listing.ClockMs, Now);
+    this->KnownConnection = std::max(this->KnownConnection, Answer.Connection);
     // An answer to an older poll may list runs as active that have ended since.
     // The runs it lists as ended must still be applied, as the upstream may be
     // gone before it can list them again.
@@ -170,6 +175,7 @@
   // active.
   case PollOutcome::Refused:
   case PollOutcome::NoAnswer:
+  case PollOutcome::NoConnection:
     if (SentAt < this->RestartedAt)
       return; // Says nothing about the new process.
     ++this->UnansweredPolls;
@@ -192,7 +198,7 @@
 
 Async<void> UpstreamLink::pollLoop() {
   while (this->isActive()) {
-    const Instant SentAt = this->Context->Clock.now();
+    Instant SentAt = this->Context->Clock.now();
     if (!this->Context->Ownership.maySendCommands(SentAt)) {
       co_await sleepFor(RetryPause);
       continue;
@@ -213,9 +219,17 @@
           this->Context->JobScheduler.needsEarlyPoll(this->Report.Id, SentAt)
               ? ShortPollWait
               : PollWait;
-    const Duration Timeout =
+    if (Request.LeaseUntilMs || Request.AckedSequence > 0)
+      Request.NewestConnection = this->KnownConnection;
+    Duration Timeout =
         Connected ? PollWait + AnswerMargin : ImmediatePollTimeout;
-    const PollResponse Answer = co_await this->Client->poll(Request, Timeout);
+    PollResponse Answer = co_await this->Client->poll(Request, Timeout);
+    if (Answer.Outcome == PollOutcome::NoConnection && this->isActive()) {
+      SentAt = this->Context->Clock.now();
+      Timeout = ImmediatePollTimeout;
+      Answer = co_await this->Client->poll(
+          {.Token = this->Context->Ownership.token()}, Timeout);
+    }
     if (!this->isActive())
       co_return;
     this->applyAnswer(Answer, SentAt, Timeout);
@@ -264,13 +278,8 @@
   StartReply Reply{.Outcome = StartOutcome::Refused}; // If nothing is sent.
   const RunId Run = Start.Run;
   const Duration ConfirmAfter = Start.ConfirmAfter;
-  if (this->isActive() && this->Context->Ownership.maySendCommands(Now) &&
-      this->Lease.clockKnown()) {
-    const std::int64_t LeaseUntilMs = this->Lease.extend(Now);
-    Reply = co_await this->Client->start(std::move(Start),
-                                         this->Context->Ownership.token(),
-                                         LeaseUntilMs, StartTimeout);
-  }
+  if (this->maySendStart(Run))
+    Reply = co_await this->requestStart(std::move(Start));
   if (this->Context->Stopped)
     co_return;
   if (Reply.ClockMs && this->Lease.isOtherClock(*Reply.ClockMs, Now))
@@ -288,6 +297,34 @@
   }
 }
 
+bool UpstreamLink::maySendStart(const RunId &Run) const {
+  return this->isActive() && this->Lease.clockKnown() &&
+         this->Context->Ownership.maySendCommands(this->Context->Clock.now()) &&
+         !this->Context->JobScheduler.wantsStop(this->Report.Id, Run);
+}
+
+Async<StartReply> UpstreamLink::requestStart(StartCommand Start) {
+  const Instant GiveUpAt = this->Context->Clock.now() + NewConnectionTimeout;
+  const RunId Run = Start.Run;
+  while (true) {
+    const Instant Now = this->Context->Clock.now();
+    const StartReply Reply = co_await this->Client->start(
+        {.Command = Start,
+         .Token = this->Context->Ownership.token(),
+         .LeaseUntilMs = this->Lease.extend(Now),
+         .NewestConnection = this->KnownConnection},
+        StartTimeout);
+    if (!Reply.NoConnection)
+      co_return Reply;
+    // Another start may have taken the new connection.
+    if (Now >= GiveUpAt || !co_await this->pollOnce(NewConnectionTimeout))
+      break;
+    if (!this->maySendStart(Run))
+      break;
+  }
+  co_return StartReply{.Outcome = StartOutcome::Refused};
+}
+
 Async<void> UpstreamLink::sendStop(StopCommand Stop) {
   // What the old process acknowledges does not bind the new one: the scheduler
   // issues stops again for the runs that are left.
@@ -324,10 +361,10 @@
   // pending long poll would report it only when its wait time is over.
   if (!this->Lease.clockKnown())
     co_return false;
-  co_return co_await this->pollOnce();
+  co_return co_await this->pollOnce(ImmediatePollTimeout);
 }
 
-Async<bool> UpstreamLink::pollOnce() {
+Async<bool> UpstreamLink::pollOnce(Duration Timeout) {
   if (!this->isActive() ||
       !this->Context->Ownership.maySendCommands(this->Context->Clock.now()))
     co_return false;
@@ -335,12 +372,11 @@
   // Acknowledges nothing: another process may answer than the one to which the
   // long poll under way was sent.
   const PollRequest Request{.Token = this->Context->Ownership.token()};
-  const PollResponse Answer =
-      co_await this->Client->poll(Request, ImmediatePollTimeout);
+  const PollResponse Answer = co_await this->Client->poll(Request, Timeout);
   const bool Answered =
       this->isActive() && Answer.Outcome == PollOutcome::Answered;
   if (Answered)
-    this->applyAnswer(Answer, SentAt, ImmediatePollTimeout);
+    this->applyAnswer(Answer, SentAt, Timeout);
   co_return Answered;
 }
 
--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -51,9 +51,12 @@
   Async<void> waitUntilStored(std::int64_t Sequence);
   Async<void> sendStart(StartCommand Start);
   Async<void> sendStop(StopCommand Stop);
+  /// Sends \p Start on a connection to the process whose clock is known. If
+  /// there is none, asks the upstream for a listing on a new one first.
+  Async<StartReply> requestStart(StartCommand Start);
   /// \returns whether the upstream has answered with a listing.
   Async<bool> fetchListing();
-  Async<bool> pollOnce();
+  Async<bool> pollOnce(Duration Timeout);
   /// Polls at once, beside the poll under way.
   void pollNow();
   Async<void> sendPace(PaceCommand Pace);
@@ -61,13 +64,15 @@
   /// Continues without a known clock after an answer with \p ClockMs, which is
   /// not that of the known process. The next listing says which one answers.
   void expectRestart(std::int64_t ClockMs);
-  /// Forgets the clock and waits for leases that were reckoned on it, after
-  /// another process has been started.
+  /// Forgets the clock and the connections, and waits for leases that were
+  /// reckoned on it, after another process has been started.
   void resetLease(Instant Now);
   /// \param Timeout of the poll.
   void applyAnswer(const PollResponse &Answer, Instant SentAt,
                    Duration Timeout);
   bool isActive() const;
+  /// \returns whether \p Run may be started now, and is still to be.
+  bool maySendStart(const RunId &Run) const;
   /// \returns whether all leases have expired that any process of the upstream
   /// may have been sent.
   bool haveLeasesExpired(Instant Now);
@@ -82,6 +87,10 @@
   UpstreamLease Lease;
   /// When the poll for the newest listing was sent.
   Instant NewestListingSentAt{};
+  /// The newest connection on which the known process has answered. What is
+  /// reckoned on its clock or in its numbers is sent on no newer one, which
+  /// could lead to the next process under the same id.
+  ConnectionNumber KnownConnection = 0;
   int Restarts = 0; ///< Incarnations that have ended since it was created.
   Instant RestartedAt{};
   int UnansweredPolls = 0; ///< Consecutive polls without an answer.
--- a/packages/site/tests/evacuationfakes.h
+++ b/packages/site/tests/evacuationfakes.h
@@ -76,9 +76,8 @@
       Answer.Listing.Active.push_back({.Run = Run});
     co_return Answer;
   }
-  Async<StartReply> start(StartCommand Start, std::int64_t, std::int64_t,
-                          Duration) override {
-    this->Started.push_back(Start.Run);
+  Async<StartReply> start(StartRequest Request, Duration) override {
+    this->Started.push_back(Request.Command.Run);
     co_return StartReply{StartOutcome::Accepted};
   }
   Async<StopOutcome> stop(StopCommand, std::int64_t, Duration) override {
--- a/packages/site/tests/upstreamlink_test.cpp
+++ b/packages/site/tests/upstreamlink_test.cpp
@@ -14,8 +14,7 @@
   Async<PollResponse> poll(PollRequest, Duration) override {
     co_return PollResponse{};
   }
-  Async<StartReply> start(StartCommand, std::int64_t, std::int64_t,
-                          Duration) override {
+  Async<StartReply> start(StartRequest, Duration) override {
     co_return StartReply{StartOutcome::Refused};
   }
   Async<StopOutcome> stop(StopCommand, std::int64_t, Duration) override {
--- a/packages/site/tests/upstreamrestart_test.cpp
+++ b/packages/site/tests/upstreamrestart_test.cpp
@@ -17,6 +17,11 @@
 struct Script {
   ManualClock &Clock;
   std::int64_t Born = 1;
+  std::int64_t ClockMs = 1000; ///< Clock in the answers to polls.
+  /// The only open connection, on which polls without a limit are answered.
+  ConnectionNumber Connection = 1;
+  std::optional<std::int64_t> AcceptedLeaseMs; ///< Of the last start.
+  std::optional<std::int64_t> PolledLeaseMs;   ///< Latest of all polls.
   bool Silent = false;
   bool NextPollHangs = false;
   Duration SilentPollTime = milliseconds(500);
@@ -34,6 +39,9 @@
   explicit ScriptedClient(Script &Answers) : Answers(Answers) {}
   Async<PollResponse> poll(PollRequest Request, Duration) override {
     co_await sleepFor(milliseconds(1));
+    if (Request.NewestConnection.value_or(this->Answers.Connection) <
+        this->Answers.Connection)
+      co_return PollResponse{.Outcome = PollOutcome::NoConnection};
     if (std::exchange(this->Answers.NextPollHangs, false)) {
       co_await sleepFor(milliseconds(100));
       co_return PollResponse{};
@@ -46,17 +54,24 @@
     std::erase_if(this->Answers.Ended, [&](const EndedRun &Each) {
       return Each.Sequence <= Request.AckedSequence;
     });
+    this->Answers.PolledLeaseMs =
+        std::max(this->Answers.PolledLeaseMs, Request.LeaseUntilMs);
     co_return PollResponse{.Outcome = PollOutcome::Answered,
-                           .Listing = {.ClockMs = 1000,
+                           .Listing = {.ClockMs = this->Answers.ClockMs,
                                        .IncarnationStartMs = this->Answers.Born,
                                        .Active = this->Answers.Active,
-                                       .Ended = this->Answers.Ended}};
+                                       .Ended = this->Answers.Ended},
+                           .Connection = this->Answers.Connection};
   }
-  Async<StartReply> start(StartCommand, std::int64_t, std::int64_t,
-                          Duration) override {
+  Async<StartReply> start(StartRequest Request, Duration) override {
+    if (Request.NewestConnection < this->Answers.Connection)
+      co_return StartReply{.Outcome = StartOutcome::Refused,
+                           .NoConnection = true};
+    this->Answers.AcceptedLeaseMs = Request.LeaseUntilMs;
     while (!this->Answers.StartMayAnswer)
       co_await sleepFor(milliseconds(1));
-    co_return StartReply{this->Answers.Start, this->Answers.StartClockMs};
+    co_return StartReply{.Outcome = this->Answers.Start,
+                         .ClockMs = this->Answers.StartClockMs};
   }
   Async<StopOutcome> stop(StopCommand, std::int64_t, Duration) override {
     while (!this->Answers.StopMayAnswer)
@@ -93,17 +108,13 @@
                         .Vm = VmId("vm-u1"),
                         .IncarnationStartMs = 1,
                         .Capacity = {8000, 8000, 0}};
+  QueueSettings Queue{.Id = QueueId("q"), .Pool = PoolId("pool")};
   std::shared_ptr<UpstreamLink> Link;
 
   LinkFixture() {
-    QueueSettings Queue{.Id = QueueId("q"), .Pool = PoolId("pool")};
-    this->JobScheduler.configure({.Version = 1, .Queues = {Queue}});
+    this->JobScheduler.configure({.Version = 1, .Queues = {this->Queue}});
     this->JobScheduler.updateUpstream(this->Report, this->Clock.now());
-    this->JobScheduler.addJob(
-        {.Id = FirstRun.Task.Job,
-         .Queue = Queue,
-         .Steps = {{.Count = 1, .Requested = {1000, 1, 0}}}},
-        std::nullopt, false, this->Clock.now(), this->Clock.now());
+    this->addJob(FirstRun.Task.Job);
     this->Answers.OnPoll = [this] {
       this->Ownership.recordRenewal(this->Clock.now());
     };
@@ -121,6 +132,14 @@
     this->Context.run();
   }
 
+  /// Adds a job of one task.
+  void addJob(const JobId &Job) {
+    this->JobScheduler.addJob(
+        {.Id = Job,
+         .Queue = this->Queue,
+         .Steps = {{.Count = 1, .Requested = {1000, 1, 0}}}},
+        std::nullopt, false, this->Clock.now(), this->Clock.now());
+  }
   /// Lets the link work for some polls.
   void wait(milliseconds Time = milliseconds(20)) {
     this->Context.restart();
@@ -264,6 +283,57 @@
   CHECK(Fixture.waitForLoss() - AcceptedAt < milliseconds(6122));
 }
 
+TEST_CASE("no process is sent a lease on the clock of the one before it") {
+  // Guards against a lease that lasts for the longest time allowed while the
+  // next holder waits for the usual one, and starts the task again. The
+  // upstream has restarted under its id; only a new connection shows it, while
+  // the poll under way hangs.
+  LinkFixture Fixture;
+  Fixture.Answers.Active = {{.Run = FirstRun}};
+  Fixture.wait();
+  Fixture.Answers.AcceptedLeaseMs.reset();
+  Fixture.Answers.NextPollHangs = true;
+  Fixture.wait();
+  Fixture.Answers.Active.clear();
+  Fixture.Answers.Born = 2;
+  Fixture.Answers.ClockMs = 7;
+  Fixture.Answers.Connection = 2;
+  Fixture.Answers.PolledLeaseMs.reset();
+  const RunId Second{{JobId("fedcba9876543210"), 0, 0, 0}, 1};
+  Fixture.addJob(Second.Task.Job);
+  Fixture.sendCommands();
+  const auto UsualLeaseMs = std::chrono::duration_cast<milliseconds>(
+                                UpstreamLease::maxTimeToExpiry(Fixture.Bounds))
+                                .count();
+  SUBCASE("the start is sent with a lease on the clock of the new process") {
+    Fixture.wait();
+    REQUIRE(Fixture.Answers.AcceptedLeaseMs);
+    CHECK(*Fixture.Answers.AcceptedLeaseMs <= 7 + UsualLeaseMs);
+  }
+  SUBCASE("the poll after the one that hangs") {
+    Fixture.wait(milliseconds(500));
+    REQUIRE(Fixture.Answers.PolledLeaseMs);
+    CHECK(*Fixture.Answers.PolledLeaseMs <= 7 + UsualLeaseMs);
+  }
+}
+
+TEST_CASE("a start that waits for a connection is not sent once its task has "
+          "been cancelled") {
+  // Guards against a start without a run in the scheduler's records: nothing
+  // would stop it.
+  LinkFixture Fixture;
+  Fixture.Answers.Active = {{.Run = FirstRun}};
+  Fixture.wait();
+  Fixture.Answers.AcceptedLeaseMs.reset();
+  Fixture.Answers.Connection = 2;
+  const RunId Second{{JobId("fedcba9876543210"), 0, 0, 0}, 1};
+  Fixture.addJob(Second.Task.Job);
+  Fixture.sendCommands();
+  Fixture.JobScheduler.cancelJob(Second.Task.Job, Fixture.Clock.now());
+  Fixture.wait();
+  CHECK_FALSE(Fixture.Answers.AcceptedLeaseMs);
+}
+
 TEST_CASE("an upstream whose VM went down is not given up while the next "
           "process may run what was sent to it") {
   // The VM list fails after it has shown the VM as down, so that only leases
@@ -317,6 +387,11 @@
     Fixture.Answers.Silent = false;
     Fixture.wait(milliseconds(400));
   }
+  SUBCASE("polled on a new connection after an answered poll") {
+    Restart();
+    Fixture.Answers.Connection = 2;
+    Fixture.wait();
+  }
   SUBCASE("asked for a listing while a poll to the old process hangs") {
     Fixture.Answers.NextPollHangs = true;
     Fixture.wait();
