Inherited tasks wait until upstreams have listed all ended runs

Cause: applyListing noted that the upstream had answered, also if the listing left ends out, and inherited tasks without a known run were started once all upstreams of a pool had answered.

Ruled out by the new event upstream.listing_incomplete (two upstreams, ends=500 applied_through=500): ends that are applied and lost, upstreams that are not waited for, older progress.

Change: an inherited task waits until each upstream of its pool has given a listing that names everything, without a limit of time while the upstream answers.

--- a/packages/scheduling/src/schedulerinherited.cpp
+++ b/packages/scheduling/src/schedulerinherited.cpp
@@ -67,6 +67,14 @@
   return Found != this->Upstreams.end() && Found->second->Answered;
 }
 
+std::set<PoolId> Scheduler::Impl::poolsWithUnlistedEnds() const {
+  std::set<PoolId> Pools;
+  for (const auto &[Id, Upstream] : this->Upstreams)
+    if (Upstream->Answered && !Upstream->RunsKnown)
+      Pools.insert(Upstream->Report.Pool);
+  return Pools;
+}
+
 Resources Scheduler::Impl::unansweredCapacity(const PoolId &Pool) const {
   Resources Sum;
   const auto HostedInPool = this->HostedCapacity.find(Pool);
@@ -103,6 +111,9 @@
   this->FullyAnsweredPools.clear();
   this->AllPoolsAnswered = false;
   this->InheritedRunsExpired = Now >= this->Options.InheritedRunsUntil;
+  // An upstream that answers keeps the ends of its runs for as long as its
+  // lease is extended, so that no time ends the wait for them.
+  this->PoolsWithUnlistedEnds = this->poolsWithUnlistedEnds();
   if (this->InheritedRunsExpired)
     return;
   for (const auto &[Id, Members] : this->ByPool)
@@ -124,11 +135,17 @@
 
 bool Scheduler::Impl::isBlockedByInheritedRuns(const JobRecord &Job,
                                                const PoolId &Pool) const {
-  if (!Job.Inherited || this->InheritedRunsExpired)
+  if (!Job.Inherited)
     return false;
   // Which pools the queue had in between is not known: any may run the job.
-  return this->wasMoved(Job) ? !this->AllPoolsAnswered
-                             : !this->FullyAnsweredPools.contains(Pool);
+  const bool WasMoved = this->wasMoved(Job);
+  if (WasMoved ? !this->PoolsWithUnlistedEnds.empty()
+               : this->PoolsWithUnlistedEnds.contains(Pool))
+    return true;
+  if (this->InheritedRunsExpired)
+    return false;
+  return WasMoved ? !this->AllPoolsAnswered
+                  : !this->FullyAnsweredPools.contains(Pool);
 }
 
 PoolId Scheduler::Impl::poolOfInheritedRuns(const JobRecord &Job) const {
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -149,6 +149,9 @@
   bool Registered = true; ///< In the registry.
   bool Answered = false;  ///< Has answered this holder, and therefore rejects
                           ///< commands of earlier holders.
+  /// A listing that named all its runs has been applied since then. An end that
+  /// an earlier one left out may be that of any inherited task.
+  bool RunsKnown = false;
   bool Cordoned = false;
   bool MaintenanceDue = false;  ///< Will be taken down by a maintenance wave.
   bool TakedownPending = false; ///< See Scheduler::setTakedownPending().
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -356,8 +356,16 @@
     this->Inner->applyActiveRun(Upstream, Active, Now);
   }
   this->Inner->rememberUncountedRuns(Upstream, Listing);
-  if (Listing.isComplete())
+  if (Listing.isComplete()) {
     this->Inner->removeUnlistedRuns(Upstream, Listed, SentAt, Now);
+    Upstream.RunsKnown = true;
+  } else if (!Upstream.RunsKnown) {
+    logEvent(LogLevel::Info, "upstream.listing_incomplete",
+             {{"upstream", Id.str()},
+              {"pool", Upstream.Report.Pool.str()},
+              {"ends", std::to_string(Listing.Ended.size())},
+              {"applied_through", std::to_string(Upstream.LastEndSequence)}});
+  }
   this->Inner->paceBestEffortRuns(Upstream, Now);
 }
 
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -219,6 +219,9 @@
   void updateFullyAnsweredPools(Instant Now);
   bool hasUnansweredUpstream(const PoolId &Pool) const;
   bool hasAnswered(const UpstreamId &Id) const;
+  /// \returns the pools of upstreams that have answered and have not yet listed
+  /// all ended runs.
+  std::set<PoolId> poolsWithUnlistedEnds() const;
   /// \returns the total capacity of the upstreams of \p Pool that have not
   /// answered this holder.
   Resources unansweredCapacity(const PoolId &Pool) const;
@@ -335,6 +338,7 @@
   /// Pools whose upstreams have all answered; updated in each round.
   std::set<PoolId> FullyAnsweredPools;
   bool AllPoolsAnswered = false; ///< Updated in each round.
+  std::set<PoolId> PoolsWithUnlistedEnds; ///< Updated in each round.
   /// Pools of each queue in all configurations that were in force here.
   std::map<QueueId, std::set<PoolId>> PoolsOfQueue;
   std::map<ZoneId, Instant> ZoneAnsweredAt;
