Ends behind one of an unknown job are applied at once

It was kept for later, and with it all ends behind it, while the upstream counted as known: after a takeover tasks that were done there ran again (TWICE).

Cause: applyEndedRuns stopped at the first end that could not be recorded, because acknowledgements name one number for all ends up to it.

Change: later ends are applied at once, and remembered by their numbers; the acknowledged number still stops before the end that waits. Each end is applied once, however often it is listed.

The new test failed before: the task of a known job was started again and its job was not completed.

--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -362,7 +362,7 @@
     const auto &[Sequence, End] = *Unstored.begin();
     const JobRecord *Job = this->Inner->job(End.Job);
     if (Job && Job->StoredRevision < End.Revision)
-      return Sequence - 1;
+      return std::min(Sequence - 1, Upstream.LastEndSequence);
     Unstored.erase(Unstored.begin());
   }
   return Upstream.LastEndSequence;
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -158,7 +158,10 @@
   Resources Used;
   std::map<RunId, RunPtr> Runs;
   std::map<std::int64_t, UnstoredEndedRun> UnstoredEndedRuns;
+  /// All ended runs up to this one have been applied.
   std::int64_t LastEndSequence = 0;
+  /// Later ones that have been applied too, behind one that waits for its job.
+  std::set<std::int64_t> EndsAppliedAhead;
   /// Active runs in the newest listing that Used does not count: their job or
   /// its specification is not known. See schedulerunknown.cpp.
   std::vector<ActiveRun> UncountedRuns;
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -303,19 +303,30 @@
 void Scheduler::Impl::applyEndedRuns(UpstreamRecord &Upstream,
                                      const std::vector<EndedRun> &Ends,
                                      Instant Now) {
+  bool HoldsBack = false;
   for (const EndedRun &End : Ends) {
     if (End.Sequence <= Upstream.LastEndSequence)
       continue;
-    // An ended run of an unknown job can't be recorded yet, and must not be
-    // acknowledged: its upstream keeps it.
-    if (!this->job(End.Run.Task.Job) && Now < this->Options.UnknownJobsUntil)
-      break;
-    Upstream.LastEndSequence = End.Sequence;
-    this->applyEndedRun(Upstream, End, Now);
-    if (const JobRecord *Job = this->job(End.Run.Task.Job))
-      if (!Job->stored())
-        Upstream.UnstoredEndedRuns[End.Sequence] = {End.Run.Task.Job,
-                                                    Job->Revision};
+    if (!Upstream.EndsAppliedAhead.contains(End.Sequence)) {
+      // An ended run of an unknown job can't be recorded yet, and must not be
+      // acknowledged: its upstream keeps it.
+      if (!this->job(End.Run.Task.Job) &&
+          Now < this->Options.UnknownJobsUntil) {
+        HoldsBack = true;
+        continue;
+      }
+      this->applyEndedRun(Upstream, End, Now);
+      if (const JobRecord *Job = this->job(End.Run.Task.Job))
+        if (!Job->stored())
+          Upstream.UnstoredEndedRuns[End.Sequence] = {End.Run.Task.Job,
+                                                      Job->Revision};
+    }
+    if (HoldsBack) {
+      Upstream.EndsAppliedAhead.insert(End.Sequence);
+    } else {
+      Upstream.LastEndSequence = End.Sequence;
+      Upstream.EndsAppliedAhead.erase(End.Sequence);
+    }
   }
 }
 
--- a/packages/scheduling/tests/unknownruns_test.cpp
+++ b/packages/scheduling/tests/unknownruns_test.cpp
@@ -77,6 +77,31 @@
   CHECK((Site.JobScheduler.stateOf(TestJob) == JobState::Completed));
 }
 
+TEST_CASE("an end is applied although one before it waits for its job") {
+  // Guards against a task that runs again after a takeover: its upstream had
+  // answered, but its end was listed behind one of a job that was not loaded.
+  TestSite Site({.Term = 2,
+                 .InheritedRunsUntil = at(20000),
+                 .UnknownJobsUntil = at(20000)});
+  const JobId Known("1123456789abcdef");
+  Site.submit(jobOf(Known.str(), {stepOf(1, 1000, 500)}), true);
+  FakeUpstream &Upstream = Site.add("u1", 8000);
+  Upstream.Ended = {{1, InheritedRun, RunEnd::Done, ""},
+                    {2, {{Known, 0, 0, 0}, 65}, RunEnd::Done, ""}};
+  Site.poll(Upstream);
+  Site.poll(Upstream); // Lists both again.
+  CHECK(Site.schedule().empty());
+  CHECK(Site.JobScheduler.acknowledgedSequence(Upstream.Report.Id) == 0);
+  Site.storeAll();
+  CHECK((Site.JobScheduler.stateOf(Known) == JobState::Completed));
+  CHECK(Site.JobScheduler.acknowledgedSequence(Upstream.Report.Id) == 0);
+  Site.submit(jobOf(TestJob.str(), {stepOf(1, 1000, 500)}), true);
+  CHECK(Site.schedule().empty());
+  Site.storeAll();
+  CHECK((Site.JobScheduler.stateOf(TestJob) == JobState::Completed));
+  CHECK(Site.JobScheduler.acknowledgedSequence(Upstream.Report.Id) == 2);
+}
+
 TEST_CASE("runs of a job that turns out to have ended are stopped") {
   TestSite Site({.Term = 2, .UnknownJobsUntil = at(20000)});
   FakeUpstream &Upstream = Site.add("u1", 8000);
