The progress of a job names the other pools in which it may run

The next holder started 30 tasks again 0.6 s later, while they were at work.

Cause: only the Scheduler that has seen the configurations knows which pools a queue has had. The stored job and the configuration in force both name the first pool. A queue that was removed after the move is the same.

Ruled out: a wait that is too short (holder.started names leases for another 4.6 s), and lost progress of the first steps (the tasks started were those at work).

Change: before the first start of a job in a pool other than that at its acceptance, the pool is stored with its progress.

--- a/packages/scheduling/include/sardinerill/scheduling/jobprogress.h
+++ b/packages/scheduling/include/sardinerill/scheduling/jobprogress.h
@@ -3,6 +3,8 @@
 #include "sardinerill/base/errors.h"
 #include "sardinerill/scheduling/schedulingtypes.h"
 
+#include <set>
+
 /// \file
 /// Stored progress of a job and its encoding, and the encoding of accepted
 /// jobs.
@@ -40,6 +42,9 @@
   /// By occurrence, step and task index. Only tasks that are done, have failed
   /// runs or have crashed upstreams.
   std::map<int, std::map<int, std::map<int, TaskProgress>>> Tasks;
+  /// Pools other than that at its acceptance in which tasks may have been
+  /// started. Stored before the first start there.
+  std::set<PoolId> OtherPools;
   friend bool operator==(const JobProgress &, const JobProgress &) = default;
 };
 
--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -255,7 +255,8 @@
   /// \returns the changes of progress to be stored since the last call.
   std::vector<ProgressChange> takeProgress();
   /// Confirms that the progress of \p Job up to \p Revision is stored.
-  void progressStored(const JobId &Job, std::int64_t Revision);
+  /// \returns whether tasks of the job waited for this.
+  bool progressStored(const JobId &Job, std::int64_t Revision);
   /// Removes the jobs that ended more than twice the status retention ago.
   /// \returns their ids.
   std::vector<JobId> takeExpired(Instant Now);
--- a/packages/scheduling/src/jobgraph.cpp
+++ b/packages/scheduling/src/jobgraph.cpp
@@ -198,6 +198,8 @@
   // Tasks of an ended job never run again, so that only its state is stored.
   if (Job.ended())
     return Progress;
+  for (const auto &[Pool, Revision] : Job.OtherPools)
+    Progress.OtherPools.insert(Pool);
   for (const auto &[Number, Occurrence] : Job.Occurrences)
     for (std::size_t Step = 0; Step < Occurrence.Steps.size(); ++Step)
       for (std::size_t Index = 0; Index < Occurrence.Steps[Step].Tasks.size();
--- a/packages/scheduling/src/jobprogress.cpp
+++ b/packages/scheduling/src/jobprogress.cpp
@@ -100,8 +100,10 @@
         }
         Rows.push_back(std::move(Entry));
       }
-  return json{{"state", static_cast<int>(Progress.State)}, {"tasks", Rows}}
-      .dump();
+  json Document{{"state", static_cast<int>(Progress.State)}, {"tasks", Rows}};
+  for (const PoolId &Pool : Progress.OtherPools)
+    Document["pools"].push_back(Pool.str());
+  return Document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<JobProgress> decodeProgress(const std::string &Text) {
@@ -119,6 +121,9 @@
           .FailedRuns = Row.at(4).get<std::vector<int>>(),
           .LastRunNumber = Row.at(5),
           .Crashes = decodeCrashes(Row)};
+    if (const auto Pools = Document.find("pools"); Pools != Document.end())
+      for (const json &Pool : *Pools)
+        Progress.OtherPools.insert(PoolId(Pool.get<std::string>()));
     return Progress;
   } catch (const json::exception &Fault) {
     return makeError(ErrorKind::BadRequest, Fault.what());
--- a/packages/scheduling/src/scheduler.cpp
+++ b/packages/scheduling/src/scheduler.cpp
@@ -153,6 +153,9 @@
   if (Progress)
     Job->State = Progress->State;
   this->Inner->HasLoadedProgress |= Progress.has_value();
+  if (Progress)
+    for (const PoolId &Pool : Progress->OtherPools)
+      Job->OtherPools.emplace(Pool, 0);
   if (Job->ended()) {
     Job->EndedAt = Now;
   } else {
@@ -393,12 +396,16 @@
   return Changes;
 }
 
-void Scheduler::progressStored(const JobId &Id, std::int64_t Revision) {
-  if (JobRecord *Job = this->Inner->job(Id)) {
-    Job->StoredRevision = std::max(Job->StoredRevision, Revision);
-    if (Job->ended() && Job->stored())
-      Job->Occurrences.clear();
-  }
+bool Scheduler::progressStored(const JobId &Id, std::int64_t Revision) {
+  JobRecord *Job = this->Inner->job(Id);
+  if (!Job)
+    return false;
+  const PoolId &Pool = this->Inner->queueSettingsOf(*Job).Pool;
+  const bool Awaited = Job->awaitsRecordOf(Pool);
+  Job->StoredRevision = std::max(Job->StoredRevision, Revision);
+  if (Job->ended() && Job->stored())
+    Job->Occurrences.clear();
+  return Awaited && !Job->awaitsRecordOf(Pool);
 }
 
 std::vector<JobId> Scheduler::takeExpired(Instant Now) {
--- a/packages/scheduling/src/schedulerinherited.cpp
+++ b/packages/scheduling/src/schedulerinherited.cpp
@@ -1,5 +1,7 @@
 #include "schedulerstate.h"
 
+#include "sardinerill/base/logging.h"
+
 #include <algorithm>
 
 /// \file
@@ -138,18 +140,46 @@
   if (!Job.Inherited)
     return false;
   // Which pools the queue had in between is not known: any may run the job.
-  const bool WasMoved = this->wasMoved(Job);
-  if (WasMoved ? !this->PoolsWithUnlistedEnds.empty()
-               : this->PoolsWithUnlistedEnds.contains(Pool))
+  if (this->wasMoved(Job))
+    return !this->PoolsWithUnlistedEnds.empty() ||
+           (!this->InheritedRunsExpired && !this->AllPoolsAnswered);
+  if (this->PoolsWithUnlistedEnds.contains(Pool) ||
+      (!this->InheritedRunsExpired && !this->FullyAnsweredPools.contains(Pool)))
     return true;
-  if (this->InheritedRunsExpired)
-    return false;
-  return WasMoved ? !this->AllPoolsAnswered
-                  : !this->FullyAnsweredPools.contains(Pool);
+  return std::ranges::any_of(Job.OtherPools, [this](const auto &Entry) {
+    return this->mayHaveUnknownRuns(Entry.first);
+  });
+}
+
+bool Scheduler::Impl::mayHaveUnknownRuns(const PoolId &Pool) const {
+  if (this->PoolsWithUnlistedEnds.contains(Pool))
+    return true;
+  const bool Exists =
+      this->ByPool.contains(Pool) || this->HostedCapacity.contains(Pool);
+  return Exists && !this->InheritedRunsExpired &&
+         !this->FullyAnsweredPools.contains(Pool);
+}
+
+bool Scheduler::Impl::recordPool(JobRecord &Job, const PoolId &Pool) {
+  if (Pool == Job.Spec.Queue.Pool)
+    return true;
+  const auto [Recorded, IsNew] = Job.OtherPools.try_emplace(Pool, 0);
+  if (IsNew) {
+    this->markChanged(Job);
+    Recorded->second = Job.Revision;
+    logEvent(LogLevel::Info, "job.pool_recorded",
+             {{"job", Job.Spec.Id.str()},
+              {"queue", Job.Spec.Queue.Id.str()},
+              {"accepted_for", Job.Spec.Queue.Pool.str()},
+              {"pool", Pool.str()}});
+  }
+  return !Job.awaitsRecordOf(Pool);
 }
 
 PoolId Scheduler::Impl::poolOfInheritedRuns(const JobRecord &Job) const {
-  return this->wasMoved(Job) ? PoolId() : this->queueSettingsOf(Job).Pool;
+  return this->wasMoved(Job) || !Job.OtherPools.empty()
+             ? PoolId()
+             : this->queueSettingsOf(Job).Pool;
 }
 
 PossibleUse Scheduler::Impl::possibleUseOf(const JobRecord &Job) const {
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -129,6 +129,9 @@
   std::int64_t Revision = 0;    ///< Incremented by each change to be stored.
   std::int64_t FetchedRevision = 0; ///< Passed to the caller for storing.
   std::int64_t StoredRevision = 0;  ///< Confirmed as stored.
+  /// Pools other than that at its acceptance in which tasks may be started,
+  /// each with the revision that stores this.
+  std::map<PoolId, std::int64_t> OtherPools;
 
   bool ended() const {
     return this->State == JobState::Completed ||
@@ -136,6 +139,13 @@
            this->State == JobState::Cancelled;
   }
   bool stored() const { return this->StoredRevision >= this->Revision; }
+  /// \returns whether tasks wait until a start in \p Pool is stored as
+  /// possible.
+  bool awaitsRecordOf(const PoolId &Pool) const {
+    const auto Found = this->OtherPools.find(Pool);
+    return Found != this->OtherPools.end() &&
+           this->StoredRevision < Found->second;
+  }
 };
 
 /// An ended run that the upstream must keep until the job's progress is stored.
--- a/packages/scheduling/src/schedulerplacement.cpp
+++ b/packages/scheduling/src/schedulerplacement.cpp
@@ -95,7 +95,8 @@
   for (const auto &[Id, Live] : this->LiveJobs) {
     JobRecord &Job = *Live;
     const QueueSettings &Queue = this->queueSettingsOf(Job);
-    if (this->isBlockedByInheritedRuns(Job, Queue.Pool))
+    if (this->isBlockedByInheritedRuns(Job, Queue.Pool) ||
+        Job.awaitsRecordOf(Queue.Pool))
       continue;
     for (auto &[Number, Occurrence] : Job.Occurrences) {
       if (Occurrence.UnfinishedTasks == 0 || Occurrence.DueMs > UnixMs)
@@ -261,6 +262,8 @@
     this->MaxFree.erase(Waiting.Queue->Pool);
     return false;
   }
+  if (!this->recordPool(*Waiting.Job, Waiting.Queue->Pool))
+    return false;
   this->start(*Upstream, Waiting, Index,
               this->nextRunNumber(*Waiting.Job, Task), Now);
   return true;
@@ -345,6 +348,8 @@
     }
     if (Chosen.size() < Record.Tasks.size())
       continue;
+    if (!this->recordPool(*Waiting.Job, Waiting.Queue->Pool))
+      return false;
     for (const auto &[Upstream, Index] : Chosen)
       this->start(*Upstream, Waiting, Index, Number, Now);
     return true;
--- a/packages/scheduling/src/schedulerspeed.cpp
+++ b/packages/scheduling/src/schedulerspeed.cpp
@@ -202,7 +202,8 @@
                             .HealthyOnly = true});
   // While work waits in another pool, idle VMs are left to the planner.
   if (!Upstream || Upstream->AvoidUntil > Now ||
-      (Upstream->Runs.empty() && !MayUseIdleVms))
+      (Upstream->Runs.empty() && !MayUseIdleVms) ||
+      !this->recordPool(Job, Queue.Pool))
     return;
   const int Number = this->nextRunNumber(Job, Task);
   this->start(*Upstream, Copied, Id.Index, Number, Now);
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -235,6 +235,12 @@
   /// an empty id if it may be any.
   PoolId poolOfInheritedRuns(const JobRecord &Job) const;
   bool isBlockedByInheritedRuns(const JobRecord &Job, const PoolId &Pool) const;
+  /// \returns whether earlier holders may have runs in \p Pool, which need not
+  /// exist any more, that are not known here.
+  bool mayHaveUnknownRuns(const PoolId &Pool) const;
+  /// Makes sure that the next holder will know that tasks of \p Job may run in
+  /// \p Pool. \returns whether it is stored, so that one may be started there.
+  bool recordPool(JobRecord &Job, const PoolId &Pool);
   /// \returns what \p Job may have running on upstreams that have not answered.
   PossibleUse possibleUseOf(const JobRecord &Job) const;
   /// Keeps what \p Job, which ends now, may have running there.
@@ -337,7 +343,7 @@
   bool InheritedRunsExpired = false;
   /// Pools whose upstreams have all answered; updated in each round.
   std::set<PoolId> FullyAnsweredPools;
-  bool AllPoolsAnswered = false; ///< Updated in each round.
+  bool AllPoolsAnswered = false;          ///< Updated in each round.
   std::set<PoolId> PoolsWithUnlistedEnds; ///< Updated in each round.
   /// Pools of each queue in all configurations that were in force here.
   std::map<QueueId, std::set<PoolId>> PoolsOfQueue;
--- a/packages/site/src/holderprogress.cpp
+++ b/packages/site/src/holderprogress.cpp
@@ -114,7 +114,8 @@
     if (!co_await this->storeProgressBatch(Batch))
       co_return false;
     for (const ProgressChange &Stored : Batch)
-      this->JobScheduler.progressStored(Stored.Job, Stored.Revision);
+      if (this->JobScheduler.progressStored(Stored.Job, Stored.Revision))
+        this->SchedulingEvent.notify();
     Done += Count;
   }
   co_return true;
