Calls for advice are sent no faster than the advisor answers

Cause: each waiting step sent a call of its own. The advisor answers them one after the other; a call was given up after 2.5 s, kept its place there, and was sent again in the next round.

Ruled out by what the stand-in counted: an advisor without answers (7 a second), steps that ask no more (5,000 refused calls a second).

Change: at most two calls are under way. After a failure they pause, and get a longer time limit.

The new tests failed before (100 calls in one round).

--- a/packages/scheduling/include/sardinerill/scheduling/commands.h
+++ b/packages/scheduling/include/sardinerill/scheduling/commands.h
@@ -50,6 +50,7 @@
   int Occurrence = 0;
   int Step = 0;
   std::vector<UpstreamId> Candidates;
+  Duration Timeout{}; ///< Time limit of the call.
   friend bool operator==(const AdviceRequest &,
                          const AdviceRequest &) = default;
 };
--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -224,9 +224,13 @@
                           StartOutcome Outcome, Instant Now);
   void handleStopOutcome(const UpstreamId &Id, const RunId &Run,
                          StopOutcome Outcome, Instant Now);
+  /// \param Tickets of the upstreams that the advisor admits, out of those that
+  /// \p Request names.
   void handleAdvice(const AdviceRequest &Request,
                     const std::map<UpstreamId, std::string> &Tickets,
                     Duration Validity, Instant Now);
+  /// The advisor gave no answer to \p Request.
+  void handleAdviceFailure(const AdviceRequest &Request, Instant Now);
 
   /// Sets the upstreams that will be taken down for maintenance. Replaces the
   /// previous set.
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -84,7 +84,6 @@
                                              ///< StepSpec::MaxPerUpstream.
   /// Text of each ticket, and the time from which it is no longer used.
   std::map<UpstreamId, std::pair<std::string, Instant>> Tickets;
-  Instant AdviceAskedAt{};
   bool AdvicePending = false;
 };
 
--- a/packages/scheduling/src/schedulerplacement.cpp
+++ b/packages/scheduling/src/schedulerplacement.cpp
@@ -13,8 +13,6 @@
 /// holders never use the same one, provided that no holder starts a task more
 /// often than this.
 constexpr int RunNumbersPerTerm = 64;
-/// Maximum number of upstreams in one request to the placement advisor.
-constexpr std::size_t MaxCandidates = 30;
 /// Fraction of the allowed time by which a started job may exceed its objective
 /// before it counts as late: estimates are off by half, and the work done so
 /// far is wasted if the job is not finished.
@@ -25,8 +23,6 @@
 /// A job that ends later than this many times its allowed time after its
 /// acceptance is of no value to its caller.
 constexpr int ValueLimit = 3;
-/// Safety margin: tickets are not used within this time before they expire.
-constexpr milliseconds TicketMargin{150};
 
 /// \returns whether only the last tasks of \p Step are left to be started.
 bool isNearEnd(const StepRecord &Step) {
@@ -214,28 +210,6 @@
   this->Commands.push_back(std::move(Start));
 }
 
-bool Scheduler::Impl::ensureTickets(const WaitingStep &Waiting, Instant Now) {
-  StepRecord &Record = Waiting.record();
-  const bool HasTicket =
-      std::ranges::any_of(Record.Tickets, [&](const auto &Entry) {
-        return Entry.second.second > Now;
-      });
-  if (HasTicket || Record.AdvicePending)
-    return HasTicket;
-  const auto Found = this->ByPool.find(Waiting.Queue->Pool);
-  if (Found == this->ByPool.end())
-    return false;
-  AdviceRequest Request{Waiting.Job->Spec.Id, Waiting.Occurrence, Waiting.Step};
-  for (const UpstreamRecord *Candidate : Found->second)
-    if (Candidate->acceptsTasks() && Request.Candidates.size() < MaxCandidates)
-      Request.Candidates.push_back(Candidate->Report.Id);
-  if (Request.Candidates.empty())
-    return false;
-  Record.AdvicePending = true;
-  this->Commands.push_back(std::move(Request));
-  return false;
-}
-
 bool Scheduler::Impl::placeTask(const WaitingStep &Waiting, int Index,
                                 Instant Now) {
   const StepSpec &Spec = Waiting.spec();
@@ -357,17 +331,4 @@
   return false;
 }
 
-void Scheduler::handleAdvice(const AdviceRequest &Request,
-                             const std::map<UpstreamId, std::string> &Tickets,
-                             Duration Validity, Instant Now) {
-  JobRecord *Job = this->Inner->job(Request.Job);
-  if (!Job || !Job->Occurrences.contains(Request.Occurrence))
-    return;
-  StepRecord &Record =
-      Job->Occurrences.at(Request.Occurrence).Steps[std::size_t(Request.Step)];
-  Record.AdvicePending = false;
-  for (const auto &[Id, Ticket] : Tickets)
-    Record.Tickets[Id] = {Ticket, Now + Validity - TicketMargin};
-}
-
 } // namespace sardinerill::site
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -4,6 +4,7 @@
 #include "sardinerill/overload/sizebalance.h"
 #include "sardinerill/scheduling/scheduler.h"
 
+#include "advicecalls.h"
 #include "crashsuspects.h"
 #include "placement.h"
 #include "schedulermodel.h"
@@ -186,8 +187,6 @@
   void start(UpstreamRecord &Upstream, const WaitingStep &Waiting, int Index,
              int Number, Instant Now);
   int nextRunNumber(const JobRecord &Job, const TaskRecord &Task) const;
-  /// \returns whether the step has valid tickets; requests them if not.
-  bool ensureTickets(const WaitingStep &Waiting, Instant Now);
 
   // Fair shares (schedulerfairshares.cpp)
   /// Places the tasks of \p Waiting by fair shares.
@@ -250,6 +249,14 @@
   /// \p Organisation.
   Resources possibleInheritedUse(const OrganisationId &Organisation) const;
 
+  // Tickets of the placement advisor (scheduleradvice.cpp)
+  /// Requests tickets for a step that has none.
+  /// \returns whether a task of the step can be started with one.
+  bool ensureTickets(const WaitingStep &Waiting, Instant Now);
+  /// \returns the upstreams of \p Pool to ask for next.
+  std::vector<UpstreamId> adviceCandidates(const PoolId &Pool) const;
+  StepRecord *stepOf(const AdviceRequest &Request);
+
   // Run times learned (schedulerruntimes.cpp)
   /// \returns the forecast of \p Job, renewed if it is too old. Only if
   /// SchedulingPolicy::LearnRunTimes is set.
@@ -364,6 +371,7 @@
   Resources PossibleUncountedUse;
   /// If SchedulingPolicy::LearnRunTimes is set, used for admission only.
   std::map<QueueId, RunTimeFactor> RunTimeFactors;
+  AdviceCalls AdvisorCalls;
   UpstreamSpeeds Speeds;
   RunTimeModel RunTimes; ///< Empty otherwise.
   std::map<QueueId, RunTimeAccuracy> Accuracies;
--- /dev/null
+++ b/packages/scheduling/tests/advice_test.cpp
@@ -0,0 +1,105 @@
+#include "testsite.h"
+
+#include <doctest/doctest.h>
+
+using namespace sardinerill;
+using namespace sardinerill::site;
+using namespace sardinerill::site::testing;
+
+/// \file
+/// Calls to the placement advisor, which answers them one after the other.
+
+namespace {
+
+std::string jobId(int Number) {
+  std::string Digits = std::to_string(Number);
+  return std::string(16 - Digits.size(), '0') + Digits;
+}
+
+/// A site whose queue needs tickets.
+struct AdvisedSite : TestSite {
+  AdvisedSite() {
+    this->Configuration.Queues.front().NeedsAdvice = true;
+    this->JobScheduler.configure(this->Configuration);
+  }
+
+  /// \returns the calls to the advisor that a round starts.
+  std::vector<AdviceRequest> ask() {
+    std::vector<AdviceRequest> Requests;
+    this->JobScheduler.schedule(at(this->NowMs), this->NowMs);
+    for (const Command &Each : this->JobScheduler.takeCommands())
+      if (const auto *Request = std::get_if<AdviceRequest>(&Each))
+        Requests.push_back(*Request);
+    return Requests;
+  }
+  void answer(const AdviceRequest &Request,
+              const std::map<UpstreamId, std::string> &Tickets) {
+    this->JobScheduler.handleAdvice(Request, Tickets, seconds(3),
+                                    at(this->NowMs));
+  }
+};
+
+} // namespace
+
+TEST_CASE("calls for advice are sent no faster than the advisor answers") {
+  // Guards against a queue that stops for good after a burst: more calls
+  // waited at the advisor than it can answer within their time limit, and each
+  // that was given up was sent again at once.
+  AdvisedSite Site;
+  Site.add("u1", 100000);
+  constexpr int Jobs = 100;
+  for (int Number = 0; Number < Jobs; ++Number)
+    Site.submit(jobOf(jobId(Number), {stepOf(1, 1000, 500)}));
+  std::vector<AdviceRequest> UnderWay = Site.ask();
+  CHECK(UnderWay.size() == 2);
+  CHECK(Site.ask().empty());
+  std::set<JobId> Asked;
+  while (!UnderWay.empty()) {
+    const AdviceRequest Answered = UnderWay.front();
+    UnderWay.erase(UnderWay.begin());
+    CHECK(Asked.insert(Answered.Job).second);
+    Site.answer(Answered, {{UpstreamId("u1"), "ticket"}});
+    for (const AdviceRequest &Next : Site.ask())
+      UnderWay.push_back(Next);
+    REQUIRE(UnderWay.size() <= 2);
+  }
+  CHECK(Asked.size() == Jobs);
+}
+
+TEST_CASE("the advisor is asked again after a pause, and given more time") {
+  // Guards against an advisor that is never heard, because it takes longer
+  // than the time limit, and against calls that are repeated without a pause.
+  AdvisedSite Site;
+  Site.add("u1", 100000);
+  Site.submit(jobOf(jobId(1), {stepOf(1, 1000, 500)}));
+  Duration Timeout{};
+  for (int Attempt = 0; Attempt < 4; ++Attempt) {
+    const std::vector<AdviceRequest> Requests = Site.ask();
+    REQUIRE(Requests.size() == 1);
+    CHECK(Requests[0].Timeout > Timeout);
+    Timeout = Requests[0].Timeout;
+    Site.JobScheduler.handleAdviceFailure(Requests[0], at(Site.NowMs));
+    CHECK(Site.ask().empty());
+    Site.NowMs += 800;
+  }
+  CHECK(Timeout == seconds(20));
+  Site.answer(Site.ask().at(0), {{UpstreamId("u1"), "ticket"}});
+  Site.submit(jobOf(jobId(2), {stepOf(1, 1000, 500)}));
+  CHECK(Site.ask().at(0).Timeout == milliseconds(2500));
+}
+
+TEST_CASE("a call for advice counts as answered also if its job has ended") {
+  // Guards against calls that count as under way for good.
+  AdvisedSite Site;
+  Site.add("u1", 100000);
+  for (int Number = 0; Number < 4; ++Number)
+    Site.submit(jobOf(jobId(Number), {stepOf(1, 1000, 500)}));
+  const std::vector<AdviceRequest> Requests = Site.ask();
+  REQUIRE(Requests.size() == 2);
+  for (const AdviceRequest &Each : Requests)
+    Site.JobScheduler.cancelJob(Each.Job, at(Site.NowMs));
+  Site.answer(Requests[0], {});
+  Site.JobScheduler.handleAdviceFailure(Requests[1], at(Site.NowMs));
+  Site.NowMs += 100;
+  CHECK(Site.ask().size() == 2);
+}
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -31,7 +31,6 @@
 /// and its upper bound.
 constexpr int IdlePerDecision = 2;
 constexpr milliseconds MaxIdle{150};
-constexpr milliseconds AdviceTimeout{2500};
 /// The summary of the load is computed again after this time. It takes about
 /// 2 ms of a whole core with 3,000 jobs, and the holder may have half of one.
 constexpr milliseconds LoadSummaryInterval{200};
@@ -424,19 +423,26 @@
 }
 
 Async<void> Holder::askAdvice(AdviceRequest Request) {
-  PlacementAdvice Received;
-  if (this->Deps.Advisor) {
-    auto Answer = co_await this->Deps.Advisor->advise(Request, AdviceTimeout);
-    if (Answer)
-      Received = std::move(*Answer);
-    else
-      logEvent(LogLevel::Warning, "advice.failed",
-               {{"job", Request.Job.str()}, {"reason", Answer.error().Detail}});
-  }
+  Result<PlacementAdvice> Answer =
+      makeError(ErrorKind::UpstreamUnreachable, "no advisor is configured");
+  if (this->Deps.Advisor)
+    Answer = co_await this->Deps.Advisor->advise(Request, Request.Timeout);
   if (this->Context->Stopped)
     co_return;
-  this->JobScheduler.handleAdvice(Request, Received.Tickets, Received.Validity,
-                                  this->Deps.Clock.now());
+  const Instant Now = this->Deps.Clock.now();
+  if (Answer) {
+    this->JobScheduler.handleAdvice(Request, Answer->Tickets, Answer->Validity,
+                                    Now);
+  } else {
+    logEvent(LogLevel::Warning, "advice.failed",
+             {{"job", Request.Job.str()},
+              {"reason", Answer.error().Detail},
+              {"time_limit_ms",
+               std::to_string(
+                   std::chrono::duration_cast<milliseconds>(Request.Timeout)
+                       .count())}});
+    this->JobScheduler.handleAdviceFailure(Request, Now);
+  }
   this->SchedulingEvent.notify();
 }
 
