The placement advisor is asked for each upstream of a pool

Change: a step remembers which upstreams the advisor does not admit, which does not change, and names those first for which it has not asked. Upstreams admitted before are asked for again after them.

The new tests failed before (10 checks).

--- a/packages/scheduling/src/scheduleradvice.cpp
+++ b/packages/scheduling/src/scheduleradvice.cpp
@@ -16,14 +16,24 @@
 } // namespace
 
 std::vector<UpstreamId>
-Scheduler::Impl::adviceCandidates(const PoolId &Pool) const {
+Scheduler::Impl::adviceCandidates(const StepRecord &Record,
+                                  const PoolId &Pool) const {
   std::vector<UpstreamId> Candidates;
   const auto Found = this->ByPool.find(Pool);
   if (Found == this->ByPool.end())
     return Candidates;
-  for (const UpstreamRecord *Each : Found->second)
-    if (Each->acceptsTasks() && Candidates.size() < MaxCandidates)
-      Candidates.push_back(Each->Report.Id);
+  std::vector<UpstreamId> AdmittedBefore;
+  for (const UpstreamRecord *Each : Found->second) {
+    const UpstreamId &Id = Each->Report.Id;
+    if (!Each->acceptsTasks() || Record.NotAdmitted.contains(Id))
+      continue;
+    (Record.Tickets.contains(Id) ? AdmittedBefore : Candidates).push_back(Id);
+  }
+  // Upstreams that have not been asked for come first, so that each is in time.
+  Candidates.insert(Candidates.end(), AdmittedBefore.begin(),
+                    AdmittedBefore.end());
+  if (Candidates.size() > MaxCandidates)
+    Candidates.resize(MaxCandidates);
   return Candidates;
 }
 
@@ -39,7 +49,7 @@
                         .Occurrence = Waiting.Occurrence,
                         .Step = Waiting.Step,
                         .Candidates =
-                            this->adviceCandidates(Waiting.Queue->Pool),
+                            this->adviceCandidates(Record, Waiting.Queue->Pool),
                         .Timeout = this->AdvisorCalls.timeout()};
   if (Request.Candidates.empty())
     return false;
@@ -67,8 +77,14 @@
   if (!Record)
     return;
   Record->AdvicePending = false;
-  for (const auto &[Id, Ticket] : Tickets)
+  // What the advisor admits to a step does not change.
+  for (const UpstreamId &Id : Request.Candidates)
+    if (!Tickets.contains(Id))
+      Record->NotAdmitted.insert(Id);
+  for (const auto &[Id, Ticket] : Tickets) {
+    Record->NotAdmitted.erase(Id);
     Record->Tickets[Id] = {Ticket, Now + Validity - TicketMargin};
+  }
 }
 
 void Scheduler::handleAdviceFailure(const AdviceRequest &Request, Instant Now) {
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -84,6 +84,8 @@
                                              ///< StepSpec::MaxPerUpstream.
   /// Text of each ticket, and the time from which it is no longer used.
   std::map<UpstreamId, std::pair<std::string, Instant>> Tickets;
+  /// Upstreams that the placement advisor does not admit.
+  std::set<UpstreamId> NotAdmitted;
   bool AdvicePending = false;
 };
 
--- a/packages/scheduling/src/schedulerstate.h
+++ b/packages/scheduling/src/schedulerstate.h
@@ -254,7 +254,8 @@
   /// \returns whether a task of the step can be started with one.
   bool ensureTickets(const WaitingStep &Waiting, Instant Now);
   /// \returns the upstreams of \p Pool to ask for next.
-  std::vector<UpstreamId> adviceCandidates(const PoolId &Pool) const;
+  std::vector<UpstreamId> adviceCandidates(const StepRecord &Record,
+                                           const PoolId &Pool) const;
   StepRecord *stepOf(const AdviceRequest &Request);
 
   // Run times learned (schedulerruntimes.cpp)
--- a/packages/scheduling/tests/advice_test.cpp
+++ b/packages/scheduling/tests/advice_test.cpp
@@ -103,3 +103,49 @@
   Site.NowMs += 100;
   CHECK(Site.ask().size() == 2);
 }
+
+TEST_CASE("the advisor is asked for each upstream of a pool") {
+  // Guards against a step that never starts: only the first 30 upstreams of
+  // the pool were named, in every call, and none of them may run it.
+  AdvisedSite Site;
+  for (int Index = 0; Index < 64; ++Index)
+    Site.add("u" + std::to_string(Index), 8000);
+  Site.submit(jobOf(jobId(1), {stepOf(1, 1000, 500)}));
+  std::set<UpstreamId> Named;
+  for (std::size_t Expected : {30, 30, 4}) {
+    const std::vector<AdviceRequest> Requests = Site.ask();
+    REQUIRE(Requests.size() == 1);
+    CHECK(Requests[0].Candidates.size() == Expected);
+    for (const UpstreamId &Id : Requests[0].Candidates)
+      CHECK(Named.insert(Id).second);
+    Site.answer(Requests[0], {});
+  }
+  CHECK(Site.ask().empty()); // The answers don't change.
+  Site.add("v", 8000);
+  const std::vector<AdviceRequest> Requests = Site.ask();
+  REQUIRE(Requests.size() == 1);
+  CHECK(Requests[0].Candidates == std::vector{UpstreamId("v")});
+  Site.answer(Requests[0], {{UpstreamId("v"), "ticket"}});
+  const std::vector<StartCommand> Starts = Site.schedule();
+  REQUIRE(Starts.size() == 1);
+  CHECK(Starts[0].Upstream == UpstreamId("v"));
+}
+
+TEST_CASE("upstreams that were admitted are asked for again after the others") {
+  // Guards against tickets that are renewed for the same upstreams while the
+  // rest of the pool is never asked for.
+  AdvisedSite Site;
+  for (int Index = 0; Index < 40; ++Index)
+    Site.add("u" + std::to_string(10 + Index), 8000);
+  Site.submit(jobOf(jobId(1), {stepOf(1, 9000, 500)})); // Fits nowhere.
+  const std::vector<AdviceRequest> First = Site.ask();
+  REQUIRE(First.size() == 1);
+  const UpstreamId Admitted = First[0].Candidates.front();
+  Site.answer(First[0], {{Admitted, "ticket"}});
+  CHECK(Site.ask().empty());
+  Site.NowMs += 3000;
+  const std::vector<AdviceRequest> Second = Site.ask();
+  REQUIRE(Second.size() == 1);
+  CHECK(Second[0].Candidates.size() == 11);
+  CHECK(Second[0].Candidates.back() == Admitted);
+}
