Answers of the table that keep arriving are not given up

Cause: a poll for changes that was not answered within 0.7 s beyond its wait was given up, however much had arrived, and begun anew. On a link of 10 Mbit/s that also carries relayed reads, the change never arrived.

A silent connection is given up as before.

--- a/packages/http/include/sardinerill/http/httpclient.h
+++ b/packages/http/include/sardinerill/http/httpclient.h
@@ -19,6 +19,11 @@
   /// Bytes read in one turn of the event loop. Allocated for each call while it
   /// waits for its response.
   std::size_t ReadBufferBytes = 2 * 1024;
+  /// How much longer than its time limit a call may last while parts of its
+  /// response arrive, each within StallTimeout of the one before. A response
+  /// that is given up and requested again never arrives on a slow link.
+  Duration ExtraReceiveTime{};
+  Duration StallTimeout = milliseconds(700);
   /// Maximum size of a response body, in bytes.
   std::size_t BodyLimit = 8 * 1024 * 1024;
 };
@@ -33,7 +38,8 @@
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
-  /// \param Timeout time from now within which the response must be complete.
+  /// \param Timeout time from now within which the response must be complete,
+  /// but for HttpClientOptions::ExtraReceiveTime.
   /// \param MaySend checked immediately before the request is written, since
   /// connecting takes time; if it returns false, the call fails with NotSent.
   /// \param NewestConnection if set, the request is sent only on an idle
--- a/packages/http/src/httpclient.cpp
+++ b/packages/http/src/httpclient.cpp
@@ -177,10 +177,18 @@
   Buffer.reserve(SharedState->Options.ReadBufferBytes);
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(SharedState->Options.BodyLimit);
-  co_await http::async_read(Stream, Buffer, Parser,
-                            asio::redirect_error(asio::use_awaitable, EC));
-  if (EC)
-    co_return tl::unexpected(HttpCallError::NoResponse);
+  const Instant LatestEnd = Deadline + SharedState->Options.ExtraReceiveTime;
+  while (!Parser.is_done()) {
+    co_await http::async_read_some(
+        Stream, Buffer, Parser, asio::redirect_error(asio::use_awaitable, EC));
+    if (EC)
+      co_return tl::unexpected(HttpCallError::NoResponse);
+    const Instant Now = Clock.now();
+    const Instant NextLimit =
+        std::min(LatestEnd, Now + SharedState->Options.StallTimeout);
+    if (NextLimit > Deadline)
+      Stream.expires_after(std::max(NextLimit - Now, Duration::zero()));
+  }
   const bool Reusable = Parser.get().keep_alive() && Buffer.size() == 0;
   HttpResponse Response = fromBeast(Parser.get(), Used->Number);
   if (Reusable)
--- a/packages/http/tests/http_test.cpp
+++ b/packages/http/tests/http_test.cpp
@@ -254,6 +254,67 @@
   CHECK(Requests == 4);
 }
 
+namespace {
+
+/// Sends the response to one request in \p Parts, with \p Pause after each, and
+/// nothing after them.
+Async<void> sendInParts(tcp::acceptor &Acceptor, std::vector<std::string> Parts,
+                        milliseconds Pause, bool &Done) {
+  tcp::socket Socket = co_await Acceptor.async_accept(asio::use_awaitable);
+  std::string Request;
+  co_await asio::async_read_until(Socket, asio::dynamic_buffer(Request),
+                                  "\r\n\r\n", asio::use_awaitable);
+  asio::steady_timer Timer(Acceptor.get_executor());
+  for (const std::string &Part : Parts) {
+    co_await asio::async_write(Socket, asio::buffer(Part), asio::use_awaitable);
+    Timer.expires_after(Pause);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+  while (!Done) {
+    Timer.expires_after(milliseconds(1));
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+} // namespace
+
+TEST_CASE("a response that keeps arriving is not given up") {
+  // Guards against a configuration that never reaches a daemon on a slow link:
+  // each read of it was cut at its time limit and began anew.
+  struct Case {
+    Duration Extra;
+    Duration Stall;
+    bool Complete; ///< Whether the server sends all of the response.
+    bool Arrives;
+  };
+  for (const Case &Each : {Case{seconds(30), seconds(10), true, true},
+                           Case{Duration::zero(), seconds(10), true, false},
+                           Case{milliseconds(20), seconds(10), true, false},
+                           Case{seconds(30), milliseconds(40), false, false}}) {
+    Loopback Network;
+    tcp::acceptor Acceptor(Network.Context, {tcp::v4(), 0});
+    std::vector<std::string> Parts{"HTTP/1.1 200 OK\r\n"
+                                   "Content-Length: 6\r\n\r\n",
+                                   "ab", "cd", "ef"};
+    if (!Each.Complete)
+      Parts.pop_back();
+    bool Done = false;
+    asio::co_spawn(
+        Network.Context,
+        sendInParts(Acceptor, std::move(Parts), milliseconds(400), Done),
+        asio::detached);
+    HttpClient Client(Network.Context.get_executor(),
+                      {.Peer = {"127.0.0.1", Acceptor.local_endpoint().port()},
+                       .ExtraReceiveTime = Each.Extra,
+                       .StallTimeout = Each.Stall});
+    const CallResult Result = Network.call(
+        Client, {.Method = "GET", .Target = "/"}, nullptr, seconds(1));
+    CHECK(Result.has_value() == Each.Arrives);
+    Done = true;
+    Network.Context.run();
+  }
+}
+
 TEST_CASE("a long response is read in few turns of the event loop") {
   // A list of all VMs is about 100 KB. Read 512 bytes at a time beside the load
   // of a peak, it took seconds, and moves of VMs waited for it.
