A start that waits for a connection is sent within 200 ms or not at all

The scheduler expects at most 500 ms (MaxSendDelay in schedulerrestart.cpp).

Change: the requests share one limit, which is checked before each attempt.

--- a/packages/site/src/upstreamlink.cpp
+++ b/packages/site/src/upstreamlink.cpp
@@ -275,11 +275,9 @@
 
 Async<void> UpstreamLink::sendStart(StartCommand Start) {
   const Instant Now = this->Context->Clock.now();
-  StartReply Reply{.Outcome = StartOutcome::Refused}; // If nothing is sent.
   const RunId Run = Start.Run;
   const Duration ConfirmAfter = Start.ConfirmAfter;
-  if (this->maySendStart(Run))
-    Reply = co_await this->requestStart(std::move(Start));
+  const StartReply Reply = co_await this->requestStart(std::move(Start));
   if (this->Context->Stopped)
     co_return;
   if (Reply.ClockMs && this->Lease.isOtherClock(*Reply.ClockMs, Now))
@@ -304,10 +302,12 @@
 }
 
 Async<StartReply> UpstreamLink::requestStart(StartCommand Start) {
-  const Instant GiveUpAt = this->Context->Clock.now() + NewConnectionTimeout;
+  const IClock &Clock = this->Context->Clock;
+  const Instant GiveUpAt = Clock.now() + NewConnectionTimeout;
   const RunId Run = Start.Run;
-  while (true) {
-    const Instant Now = this->Context->Clock.now();
+  // Another start may take the new connection.
+  for (Instant Now = Clock.now(); Now < GiveUpAt && this->maySendStart(Run);
+       Now = Clock.now()) {
     const StartReply Reply = co_await this->Client->start(
         {.Command = Start,
          .Token = this->Context->Ownership.token(),
@@ -316,10 +316,7 @@
         StartTimeout);
     if (!Reply.NoConnection)
       co_return Reply;
-    // Another start may have taken the new connection.
-    if (Now >= GiveUpAt || !co_await this->pollOnce(NewConnectionTimeout))
-      break;
-    if (!this->maySendStart(Run))
+    if (!co_await this->pollOnce(GiveUpAt - Now))
       break;
   }
   co_return StartReply{.Outcome = StartOutcome::Refused};
--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -53,6 +53,7 @@
   Async<void> sendStop(StopCommand Stop);
   /// Sends \p Start on a connection to the process whose clock is known. If
   /// there is none, asks the upstream for a listing on a new one first.
+  /// \returns Refused if nothing was sent.
   Async<StartReply> requestStart(StartCommand Start);
   /// \returns whether the upstream has answered with a listing.
   Async<bool> fetchListing();
