--- a/packages/site/src/upstreamlink.h
+++ b/packages/site/src/upstreamlink.h
@@ -66,7 +66,7 @@
   /// not that of the known process. The next listing says which one answers.
   void expectRestart(std::int64_t ClockMs);
   /// Forgets the clock and the connections, and waits for leases that were
-  /// reckoned on it, after another process has been started.
+  /// computed from it, after another process has been started.
   void resetLease(Instant Now);
   /// \param Timeout of the poll.
   void applyAnswer(const PollResponse &Answer, Instant SentAt,
@@ -89,7 +89,7 @@
   /// When the poll for the newest listing was sent.
   Instant NewestListingSentAt{};
   /// The newest connection on which the known process has answered. What is
-  /// reckoned on its clock or in its numbers is sent on no newer one, which
+  /// computed from its clock or its numbers is sent on no newer one, which
   /// could lead to the next process under the same id.
   ConnectionNumber KnownConnection = 0;
   int Restarts = 0; ///< Incarnations that have ended since it was created.
