--- a/packages/http/src/httpclient.cpp
+++ b/packages/http/src/httpclient.cpp
@@ -177,7 +177,14 @@
   Buffer.reserve(SharedState->Options.ReadBufferBytes);
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(SharedState->Options.BodyLimit);
-  const Instant LatestEnd = Deadline + SharedState->Options.ExtraReceiveTime;
+  const Duration Extra = SharedState->Options.ExtraReceiveTime;
+  if (Extra == Duration::zero()) {
+    co_await http::async_read(Stream, Buffer, Parser,
+                              asio::redirect_error(asio::use_awaitable, EC));
+    if (EC)
+      co_return tl::unexpected(HttpCallError::NoResponse);
+  }
+  const Instant LatestEnd = Deadline + Extra;
   while (!Parser.is_done()) {
     co_await http::async_read_some(
         Stream, Buffer, Parser, asio::redirect_error(asio::use_awaitable, EC));
