Suspects of a crash are found by the time at which their start was accepted

Cause: a run is a suspect if its upstream crashes within 50 ms of its start, counted from the decision. Ruled out: a takeover that loses counts (the holder changed later).

Change: the 50 ms are counted from the answer that accepted the start, where there is one.

The new test failed before in principle: the crash comes 110 ms after the decision and 10 ms after the answer.

--- a/packages/scheduling/src/crashsuspects.cpp
+++ b/packages/scheduling/src/crashsuspects.cpp
@@ -36,7 +36,7 @@
     const CrashRecord *Task = RecordOf(Candidate);
     if (!Task || Candidate->Settled || Candidate->StartedAt > Crash.Latest)
       continue;
-    if (Candidate->StartedAt + probationTime(*Task) >= Crash.Earliest)
+    if (Candidate->latestBegin() + probationTime(*Task) >= Crash.Earliest)
       Suspects.push_back(Candidate);
   }
   return Suspects;
--- a/packages/scheduling/src/placement.cpp
+++ b/packages/scheduling/src/placement.cpp
@@ -37,7 +37,7 @@
 bool hasRunYoungerThan(const UpstreamRecord &Candidate, Duration Age,
                        Instant Now) {
   return std::ranges::any_of(Candidate.Runs, [&](const auto &Entry) {
-    return !Entry.second->Settled && Now - Entry.second->StartedAt < Age;
+    return !Entry.second->Settled && Now - Entry.second->latestBegin() < Age;
   });
 }
 
--- a/packages/scheduling/src/schedulercrashes.cpp
+++ b/packages/scheduling/src/schedulercrashes.cpp
@@ -118,13 +118,13 @@
   Task->LastRunNumber = std::max(Task->LastRunNumber, Suspect.Id.Number);
   this->markChanged(*Job);
   ++this->Counts.Suspicions;
-  logEvent(
-      LogLevel::Info, "task.suspected",
-      {{"run", describe(Suspect.Id)},
-       {"upstream", Suspect.Upstream.str()},
-       {"age_ms", std::to_string(inMillis(Crash.Latest - Suspect.StartedAt))},
-       {"crashes", std::to_string(Task->Crashes.Crashes)},
-       {"only_suspect", OneCause ? "yes" : "no"}});
+  logEvent(LogLevel::Info, "task.suspected",
+           {{"run", describe(Suspect.Id)},
+            {"upstream", Suspect.Upstream.str()},
+            {"age_ms",
+             std::to_string(inMillis(Crash.Latest - Suspect.latestBegin()))},
+            {"crashes", std::to_string(Task->Crashes.Crashes)},
+            {"only_suspect", OneCause ? "yes" : "no"}});
   return isGivenUp(Task->Crashes);
 }
 
@@ -132,7 +132,7 @@
                              Instant Now) {
   TaskRecord *Task = this->task(Candidate->Id.Task);
   if (Candidate->Settled || !Task ||
-      Now - Candidate->StartedAt < probationTime(Task->Crashes))
+      Now - Candidate->latestBegin() < probationTime(Task->Crashes))
     return;
   Candidate->Settled = true;
   if (Upstream.OnProbation == Candidate)
--- a/packages/scheduling/src/schedulermodel.h
+++ b/packages/scheduling/src/schedulermodel.h
@@ -36,7 +36,10 @@
   OrganisationId Organisation;
   PoolId Pool;              ///< Of the upstream when the run was added.
   bool LongRunning = false; ///< As StepSpec::LongRunning.
-  Instant StartedAt{};
+  Instant StartedAt{};      ///< When its start was decided.
+  /// When its upstream accepted the start, which may have waited for a
+  /// connection.
+  std::optional<Instant> AcceptedAt;
   Instant PhaseChangedAt{};
   /// When the upstream last said that it runs this: it accepted the start, or
   /// listed the run as active.
@@ -62,6 +65,11 @@
   /// upstream; see crashsuspects.h.
   bool Settled = false;
   bool Measured = false; ///< Counted in Scheduler::Impl::Speeds.
+
+  /// \returns a time before which it has begun, if it has.
+  Instant latestBegin() const {
+    return this->AcceptedAt.value_or(this->StartedAt);
+  }
 };
 
 using RunPtr = std::shared_ptr<Run>;
--- a/packages/scheduling/src/schedulerruns.cpp
+++ b/packages/scheduling/src/schedulerruns.cpp
@@ -392,7 +392,7 @@
   const RunPtr Started = Known->second;
   if (Outcome == StartOutcome::Accepted) {
     this->Inner->ZoneAnsweredAt[Upstream.Report.Zone] = Now;
-    Started->ConfirmedAt = Now;
+    Started->ConfirmedAt = Started->AcceptedAt = Now;
     if (Started->Phase == RunPhase::Starting) {
       Started->Phase = RunPhase::Active;
       Started->StartKnown = true;
--- a/packages/scheduling/tests/crashes_test.cpp
+++ b/packages/scheduling/tests/crashes_test.cpp
@@ -214,6 +214,25 @@
   CHECK(Site.schedule().empty());
 }
 
+TEST_CASE("a task is suspected although its start was sent late") {
+  // Guards against a task that goes on crashing upstreams: its start had waited
+  // for a connection, so that the crash came long after the decision.
+  TestSite Site;
+  Site.add("u0", 8000);
+  Site.submit(jobOf(Deadly.str(), {stepOf(1, 1000, 500)}));
+  Site.JobScheduler.schedule(at(Site.NowMs), Site.NowMs);
+  const auto Commands = Site.JobScheduler.takeCommands();
+  REQUIRE(Commands.size() == 1);
+  const auto &Start = std::get<StartCommand>(Commands[0]);
+  Site.NowMs += 100;
+  Site.JobScheduler.handleStartOutcome(Start.Upstream, Start.Run,
+                                       StartOutcome::Accepted, at(Site.NowMs));
+  Site.NowMs += CrashDelayMs;
+  Site.JobScheduler.recordFailedPoll(Start.Upstream, true, at(Site.NowMs));
+  Site.JobScheduler.removeEndedUpstream(Start.Upstream, "test", at(Site.NowMs));
+  CHECK(Site.JobScheduler.crashCounts().Suspicions == 1);
+}
+
 TEST_CASE("the crashes of a task are known to the next holder") {
   CrashSite First(3);
   First.submit(jobOf(Deadly.str(), {stepOf(1, 1000, 500)}));
