Calls for advice last as long as the advisor takes

Cause: a call got 2.5 s, more after failures, and an answer set this back to 2.5 s, so that each second call was given up shortly before its answer. The advisor goes on with a call that is given up. The queue's configuration names what a call takes (per call and per upstream); the codec dropped both.

Ruled out: tickets that expire before they are used (6 of 7 jobs start with them), refused calls (none had 429).

Change: AdvisorTimings are read with the queue and stored with its jobs. The time limit of a call is what the advisor takes for it and for the calls before it, those that were given up included, and 2.5 s. What answers take beyond this is learned, also without stated timings, and an answer doesn't set it back. While calls fail, one at a time is under way. Tickets without a stated validity get that of the configuration.

--- a/packages/scheduling/include/sardinerill/scheduling/commands.h
+++ b/packages/scheduling/include/sardinerill/scheduling/commands.h
@@ -51,10 +51,22 @@
   int Step = 0;
   std::vector<UpstreamId> Candidates;
   Duration Timeout{}; ///< Time limit of the call.
+  /// Time for which the advisor works on the call, by the configuration.
+  Duration Cost{};
+  /// Given to tickets if the answer does not state their validity.
+  Duration TicketValidity{};
+  std::uint64_t Number = 0; ///< Of the calls of this holder, in their order.
   friend bool operator==(const AdviceRequest &,
                          const AdviceRequest &) = default;
 };
 
+/// Why a call for advice has failed.
+enum class AdviceFailure {
+  NotQueued, ///< Refused, or not sent: the advisor does not work on it.
+  Answered,  ///< The answer was invalid.
+  TimedOut,  ///< No answer within the limit; the advisor may still work on it.
+};
+
 using Command =
     std::variant<StartCommand, StopCommand, PaceCommand, AdviceRequest>;
 
--- a/packages/scheduling/include/sardinerill/scheduling/scheduler.h
+++ b/packages/scheduling/include/sardinerill/scheduling/scheduler.h
@@ -229,8 +229,9 @@
   void handleAdvice(const AdviceRequest &Request,
                     const std::map<UpstreamId, std::string> &Tickets,
                     Duration Validity, Instant Now);
-  /// The advisor gave no answer to \p Request.
-  void handleAdviceFailure(const AdviceRequest &Request, Instant Now);
+  /// The advisor gave no valid answer to \p Request.
+  void handleAdviceFailure(const AdviceRequest &Request, AdviceFailure Failure,
+                           Instant Now);
 
   /// Sets the upstreams that will be taken down for maintenance. Replaces the
   /// previous set.
--- a/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
+++ b/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
@@ -90,6 +90,16 @@
   friend bool operator==(const Recurrence &, const Recurrence &) = default;
 };
 
+/// Time that the placement advisor takes for a call, as the configuration
+/// states it.
+struct AdvisorTimings {
+  Duration PerCall{};
+  Duration PerUpstream{};    ///< For each upstream that the call names.
+  Duration TicketValidity{}; ///< Used if an answer does not state it.
+  friend bool operator==(const AdvisorTimings &,
+                         const AdvisorTimings &) = default;
+};
+
 struct QueueSettings {
   QueueId Id;
   std::string Host;
@@ -104,7 +114,8 @@
   Duration CallTimeout{}; ///< Default and upper limit of a call's timeout.
   bool Public = false;    ///< Callers need no API key.
   bool NeedsAdvice =
-      false; ///< Starts require tickets of the placement advisor.
+      false;              ///< Starts require tickets of the placement advisor.
+  AdvisorTimings Advisor; ///< Zero where the configuration states nothing.
   friend bool operator==(const QueueSettings &,
                          const QueueSettings &) = default;
 };
--- a/packages/scheduling/src/jobprogress.cpp
+++ b/packages/scheduling/src/jobprogress.cpp
@@ -39,7 +39,20 @@
           {"attempts", Queue.MaxAttempts},
           {"stretch", Queue.CriticalPathFactor},
           {"target", Queue.LatencyTarget.count()},
-          {"advice", Queue.NeedsAdvice}};
+          {"advice", Queue.NeedsAdvice},
+          {"advisor",
+           {Queue.Advisor.PerCall.count(), Queue.Advisor.PerUpstream.count(),
+            Queue.Advisor.TicketValidity.count()}}};
+}
+
+/// Rows of older builds have no timings.
+AdvisorTimings decodeAdvisor(const json &Queue) {
+  const auto Found = Queue.find("advisor");
+  if (Found == Queue.end())
+    return {};
+  return {.PerCall = Duration(Found->at(0).get<std::int64_t>()),
+          .PerUpstream = Duration(Found->at(1).get<std::int64_t>()),
+          .TicketValidity = Duration(Found->at(2).get<std::int64_t>())};
 }
 
 QueueSettings decodeQueue(const json &Text) {
@@ -49,7 +62,8 @@
           .MaxAttempts = Text.at("attempts"),
           .CriticalPathFactor = Text.at("stretch"),
           .LatencyTarget = Duration(Text.at("target").get<std::int64_t>()),
-          .NeedsAdvice = Text.at("advice")};
+          .NeedsAdvice = Text.at("advice"),
+          .Advisor = decodeAdvisor(Text)};
 }
 
 StepSpec decodeStep(const json &Text) {
--- a/packages/scheduling/src/scheduleradvice.cpp
+++ b/packages/scheduling/src/scheduleradvice.cpp
@@ -45,16 +45,22 @@
       });
   if (HasTicket || Record.AdvicePending || !this->AdvisorCalls.mayStart(Now))
     return HasTicket;
-  AdviceRequest Request{.Job = Waiting.Job->Spec.Id,
-                        .Occurrence = Waiting.Occurrence,
-                        .Step = Waiting.Step,
-                        .Candidates =
-                            this->adviceCandidates(Record, Waiting.Queue->Pool),
-                        .Timeout = this->AdvisorCalls.timeout()};
+  AdviceRequest Request{
+      .Job = Waiting.Job->Spec.Id,
+      .Occurrence = Waiting.Occurrence,
+      .Step = Waiting.Step,
+      .Candidates = this->adviceCandidates(Record, Waiting.Queue->Pool),
+      .TicketValidity = Waiting.Queue->Advisor.TicketValidity};
   if (Request.Candidates.empty())
     return false;
+  const AdvisorTimings &Advisor = Waiting.Queue->Advisor;
+  Request.Cost = Advisor.PerCall +
+                 Advisor.PerUpstream * std::int64_t(Request.Candidates.size());
   Record.AdvicePending = true;
-  this->AdvisorCalls.recordStart();
+  const auto [Number, Limit] =
+      this->AdvisorCalls.recordStart(Request.Cost, Now);
+  Request.Number = Number;
+  Request.Timeout = Limit;
   this->Commands.push_back(std::move(Request));
   return false;
 }
@@ -72,7 +78,9 @@
 void Scheduler::handleAdvice(const AdviceRequest &Request,
                              const std::map<UpstreamId, std::string> &Tickets,
                              Duration Validity, Instant Now) {
-  this->Inner->AdvisorCalls.recordAnswer();
+  this->Inner->AdvisorCalls.recordAnswer(Request.Number, Now);
+  if (Validity == Duration::zero())
+    Validity = Request.TicketValidity;
   StepRecord *Record = this->Inner->stepOf(Request);
   if (!Record)
     return;
@@ -87,8 +95,9 @@
   }
 }
 
-void Scheduler::handleAdviceFailure(const AdviceRequest &Request, Instant Now) {
-  this->Inner->AdvisorCalls.recordFailure(Now);
+void Scheduler::handleAdviceFailure(const AdviceRequest &Request,
+                                    AdviceFailure Failure, Instant Now) {
+  this->Inner->AdvisorCalls.recordFailure(Request.Number, Failure, Now);
   if (StepRecord *Record = this->Inner->stepOf(Request))
     Record->AdvicePending = false;
 }
--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -75,6 +75,17 @@
           .UnknownJobsUntil = Claim.ClaimSentAt + MaxStaleReadTime};
 }
 
+AdviceFailure adviceFailureOf(ErrorKind Kind) {
+  switch (Kind) {
+  case ErrorKind::UpstreamTimeout:
+    return AdviceFailure::TimedOut;
+  case ErrorKind::UpstreamBadReply:
+    return AdviceFailure::Answered;
+  default:
+    return AdviceFailure::NotQueued;
+  }
+}
+
 } // namespace
 
 Holder::Holder(SiteDeps Deps, OwnershipTimings Timeouts, OwnershipClaim Claim)
@@ -430,18 +441,25 @@
   if (this->Context->Stopped)
     co_return;
   const Instant Now = this->Deps.Clock.now();
+  this->Deps.Stats.count(Answer ? "advice_answers_total"
+                                : "advice_failures_total");
   if (Answer) {
     this->JobScheduler.handleAdvice(Request, Answer->Tickets, Answer->Validity,
                                     Now);
   } else {
-    logEvent(LogLevel::Warning, "advice.failed",
-             {{"job", Request.Job.str()},
-              {"reason", Answer.error().Detail},
-              {"time_limit_ms",
-               std::to_string(
-                   std::chrono::duration_cast<milliseconds>(Request.Timeout)
-                       .count())}});
-    this->JobScheduler.handleAdviceFailure(Request, Now);
+    logEvent(
+        LogLevel::Warning, "advice.failed",
+        {{"job", Request.Job.str()},
+         {"reason", Answer.error().Detail},
+         {"expected_ms",
+          std::to_string(
+              std::chrono::duration_cast<milliseconds>(Request.Cost).count())},
+         {"time_limit_ms",
+          std::to_string(
+              std::chrono::duration_cast<milliseconds>(Request.Timeout)
+                  .count())}});
+    this->JobScheduler.handleAdviceFailure(
+        Request, adviceFailureOf(Answer.error().Kind), Now);
   }
   this->SchedulingEvent.notify();
 }
