A daemon that is behind reads the newest configuration, not each version

Cause, shown by the new fields of configuration.in_force (rows, bytes, took_ms, decode_ms): the list of changes has each version of the configuration in full, and at most 1 MB an answer. edge-huron-shed-10, table back at 14.5 s: an answer with 6 versions, 1.24 MB, took 1,787 ms, 278 ms of it decoding, and ended at version 19; one with 3 versions, 1.06 MB, 1,519 ms, at version 30; version 32 came third, at 19.0 s.

Ruled out: an answer that had been asked for earlier (it was sent 0.7 s after the table was back), reads that are cut and begun anew (each answer was put in force), decoding alone (0.57 of 4.5 s).

Change: a daemon that knows from peers of a newer configuration than its own reads the rows themselves, which hold the newest version only. Such a read is not given up while it arrives.

With the rule of before (changes only) in ConfigurationReads, its test "a daemon that has missed many versions receives the newest next" fails.

--- a/packages/site/include/sardinerill/site/isitesource.h
+++ b/packages/site/include/sardinerill/site/isitesource.h
@@ -26,6 +26,10 @@
   bool IsFullRead = false;  ///< Holds all rows, not only changes.
   std::int64_t Version = 0; ///< Position from which to request further changes.
   int SkippedRows = 0;      ///< Number of rows that could not be decoded.
+  /// Of the configuration, older versions included.
+  int ConfigurationRows = 0;
+  std::size_t ConfigurationBytes = 0; ///< Size of these rows.
+  Duration DecodeTime{};              ///< Spent on decoding all rows.
 };
 
 struct RegistrySnapshot {
--- a/packages/site/include/sardinerill/site/istore.h
+++ b/packages/site/include/sardinerill/site/istore.h
@@ -75,6 +75,9 @@
   /// May be sent on two routes at once, see IStore::read().
   bool Urgent = false;
   int Limit = 0; ///< Rows of one page; 0: as many as the table returns.
+  /// The rows may be too large to arrive within the time limit on a narrow
+  /// link. The read then lasts longer while parts of its answer arrive.
+  bool HasLargeRows = false;
 };
 
 /// Called with the answers of a peer, which name the version of its
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "callerhandler.h"
 #include "configurationfreshness.h"
+#include "configurationreads.h"
 #include "holder.h"
 #include "ownershipmanager.h"
 #include "peerapi.h"
@@ -46,6 +47,10 @@
 /// read of their list is complete.
 constexpr int RefreshesAtFirstStart = 2;
 
+std::string toMillisText(Duration Time) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(Time).count());
+}
+
 } // namespace
 
 struct SiteDaemon::State {
@@ -54,7 +59,8 @@
 
   void start();
   Async<void> watchConfiguration();
-  void applyConfiguration(const OperatorSnapshot &Snapshot);
+  /// \param SentAt when the read that returned \p Snapshot was sent.
+  void applyConfiguration(const OperatorSnapshot &Snapshot, Instant SentAt);
   void startHolder(const OwnershipClaim &Claim);
   void stopHolder();
   bool isActiveHolder() const;
@@ -106,6 +112,7 @@
   std::optional<SiteConfiguration> Configuration;
   StartupConfiguration Startup;
   ConfigurationFreshness Freshness;
+  ConfigurationReads Reads{ConfigurationPollWait};
   Instant NextRejectedVersionLog{};
   std::vector<MaintenanceWave> Waves;
   bool Stopping = false;
@@ -315,7 +322,8 @@
       this->Evacuations.applyPeerState(*States, this->Clock.now()), "peer");
 }
 
-void SiteDaemon::State::applyConfiguration(const OperatorSnapshot &Snapshot) {
+void SiteDaemon::State::applyConfiguration(const OperatorSnapshot &Snapshot,
+                                           Instant SentAt) {
   for (const MaintenanceWave &Wave : Snapshot.Waves) {
     const auto IsSameWave = [&](const MaintenanceWave &Known) {
       return Known.Number == Wave.Number;
@@ -334,7 +342,12 @@
   this->Freshness.recordInForce(this->Configuration->Version);
   logEvent(LogLevel::Info, "configuration.in_force",
            {{"version", std::to_string(this->Configuration->Version)},
-            {"queues", std::to_string(this->Configuration->Queues.size())}});
+            {"queues", std::to_string(this->Configuration->Queues.size())},
+            {"source", Snapshot.IsFullRead ? "read" : "changes"},
+            {"rows", std::to_string(Snapshot.ConfigurationRows)},
+            {"bytes", std::to_string(Snapshot.ConfigurationBytes)},
+            {"took_ms", toMillisText(this->Clock.now() - SentAt)},
+            {"decode_ms", toMillisText(Snapshot.DecodeTime)}});
   const CallerLimits &Limits = this->Configuration->Limits;
   this->CallerServer->setLimits({.HeaderBytes = Limits.HeaderBytes,
                                  .BodyBytes = Limits.BodyBytes,
@@ -345,41 +358,40 @@
 }
 
 Async<void> SiteDaemon::State::watchConfiguration() {
-  std::int64_t Version = -1;
-  // After a failed call, one without waiting tells soonest what was missed.
-  bool HasFailed = false;
   while (true) {
-    const bool IsFirst = Version < 0;
     const Instant SentAt = this->Clock.now();
-    const Duration Wait = HasFailed ? milliseconds(0) : ConfigurationPollWait;
+    const ConfigurationRead Read =
+        this->Reads.next(this->Freshness.isBehind(SentAt));
     const auto Snapshot =
-        IsFirst ? co_await this->Adapters.Source->readOperatorSnapshot(
-                      ConfigurationReadTimeout)
-                : co_await this->Adapters.Source->waitForOperatorChanges(
-                      Version, Wait);
-    HasFailed = !Snapshot;
-    if (Snapshot) {
-      const bool Unchanged = !IsFirst && !Snapshot->Configuration &&
-                             Snapshot->Waves.empty() &&
-                             Snapshot->Evacuations.empty();
-      this->applyEvacuations(
-          *Snapshot, OperatorRowsAge::answerTime(SentAt, Wait, Unchanged,
-                                                 this->Clock.now()));
-      this->applyConfiguration(*Snapshot);
-      // A row that can't be decoded may be a newer configuration.
-      if (Snapshot->SkippedRows == 0)
-        this->recordTableAnswer(SentAt);
-      Version = std::max(Version, Snapshot->Version);
-      if (this->Startup.needsNewerRead())
-        Version = -1; // The table serves an old configuration.
-      // No configuration exists yet: pause before the next read.
-      if ((IsFirst && !this->Configuration) || Version < 0)
-        co_await sleepFor(RetryPause);
+        Read.readsAll()
+            ? co_await this->Adapters.Source->readOperatorSnapshot(
+                  ConfigurationReadTimeout)
+            : co_await this->Adapters.Source->waitForOperatorChanges(
+                  *Read.ChangesAfter, Read.Wait);
+    if (!Snapshot) {
+      this->Reads.recordFailure();
+      if (Snapshot.error().Kind == ErrorKind::PlatformHistoryGone)
+        this->Reads.restart();
+      co_await sleepFor(RetryPause);
       continue;
     }
-    if (Snapshot.error().Kind == ErrorKind::PlatformHistoryGone)
-      Version = -1;
-    co_await sleepFor(RetryPause);
+    const bool Unchanged = !Read.readsAll() && !Snapshot->Configuration &&
+                           Snapshot->Waves.empty() &&
+                           Snapshot->Evacuations.empty();
+    this->applyEvacuations(
+        *Snapshot, OperatorRowsAge::answerTime(SentAt, Read.Wait, Unchanged,
+                                               this->Clock.now()));
+    this->applyConfiguration(*Snapshot, SentAt);
+    // A row that can't be decoded may be a newer configuration.
+    if (Snapshot->SkippedRows == 0)
+      this->recordTableAnswer(SentAt);
+    this->Reads.recordAnswer(Read, Snapshot->Version);
+    const bool IsOld = this->Startup.needsNewerRead();
+    if (IsOld)
+      this->Reads.restart(); // The table serves an old configuration.
+    // No configuration exists yet: pause before the next read.
+    if ((Read.readsAll() && !this->Configuration) || IsOld)
+      co_await sleepFor(RetryPause);
   }
 }
 
