Peers return what a daemon's configuration lacks

Weighed: extra time for relayed reads (the same bytes twice over the narrow links of daemons that keep the table); a log of changed queues for each version (a property test found it wrong: a daemon that has skipped versions does not know of a queue that was added and removed in between).

Change: a daemon that is told of a newer version, and hasn't had it from the table 300 ms later, sends that peer the hashes of 256 groups of its queues. The peer returns the queues of the groups that differ, with keys, pools, limits, waves, evacuations and the version of the table up to which this is complete. Polls for changes go on from there.

The test 'a daemon gets a configuration that the table does not return' needs the new request; without it the daemon stays at version 7.

--- a/packages/site/src/configurationfreshness.cpp
+++ b/packages/site/src/configurationfreshness.cpp
@@ -8,6 +8,8 @@
 void ConfigurationFreshness::recordInForce(std::int64_t Version) {
   this->InForce = std::max(this->InForce, Version);
   this->Newest = std::max(this->Newest, this->InForce);
+  while (!this->Named.empty() && this->Named.front().first <= this->InForce)
+    this->Named.pop_front();
 }
 
 PeerVersionKind ConfigurationFreshness::recordPeerAnswer(std::string_view Text,
@@ -26,11 +28,20 @@
     return PeerVersionKind::NotNewer;
   if (Version - this->InForce > MaxVersionStep)
     return PeerVersionKind::Rejected;
+  const bool WasBehind = this->isBehind(Now);
   this->LastNamedAt = Now;
-  if (Version <= this->Newest)
+  if (Version <= this->Newest) {
+    if (!WasBehind)
+      this->Named.assign({{Version, Now}});
     return PeerVersionKind::Repeated;
+  }
+  // What was named long ago no longer counts.
+  if (!WasBehind)
+    this->Named.clear();
   this->Newest = Version;
   this->FirstNamedAt = Now;
+  if (this->Named.size() < MaxNamed)
+    this->Named.emplace_back(Version, Now);
   return PeerVersionKind::Newer;
 }
 
@@ -40,9 +51,16 @@
     return false;
   this->Disproved = this->Newest;
   this->Newest = this->InForce;
+  this->Named.clear();
   return true;
 }
 
+Duration ConfigurationFreshness::timeBehind(Instant Now) const {
+  return this->isBehind(Now) && !this->Named.empty()
+             ? Now - this->Named.front().second
+             : Duration::zero();
+}
+
 bool ConfigurationFreshness::isBehind(Instant Now) const {
   return this->Newest > this->InForce &&
          Now - this->LastNamedAt < MaxTimeSinceNamed;
--- a/packages/site/src/configurationfreshness.h
+++ b/packages/site/src/configurationfreshness.h
@@ -3,7 +3,9 @@
 #include "sardinerill/base/clock.h"
 
 #include <cstdint>
+#include <deque>
 #include <string_view>
+#include <utility>
 
 /// \file
 /// Whether other daemons use a newer configuration than this one. Reads of a
@@ -34,6 +36,8 @@
   /// Operators count versions up one by one; a larger step is a fault of the
   /// peer.
   static constexpr std::int64_t MaxVersionStep = 1000000;
+  /// Versions whose first naming is remembered.
+  static constexpr std::size_t MaxNamed = 100;
 
   /// Records the version that this daemon has put in force.
   void recordInForce(std::int64_t Version);
@@ -47,6 +51,9 @@
 
   /// \returns whether a version newer than the one in force is used by peers.
   bool isBehind(Instant Now) const;
+  /// \returns for how long peers have used a version newer than the one in
+  /// force; zero if none does.
+  Duration timeBehind(Instant Now) const;
   /// \returns the highest version known to be used.
   std::int64_t newestVersion() const { return this->Newest; }
   std::int64_t disprovedVersion() const { return this->Disproved; }
@@ -59,7 +66,9 @@
   std::int64_t Newest = 0;
   std::int64_t Disproved = 0; ///< Ignored if named again.
   Instant FirstNamedAt{};     ///< When Newest was first named.
-  Instant LastNamedAt{};      ///< When a version above InForce was last named.
+  /// When each version above InForce was first named; by rising version.
+  std::deque<std::pair<std::int64_t, Instant>> Named;
+  Instant LastNamedAt{}; ///< When a version above InForce was last named.
 };
 
 } // namespace sardinerill::site
--- a/packages/site/src/configurationreads.h
+++ b/packages/site/src/configurationreads.h
@@ -57,6 +57,9 @@
   void advance(std::int64_t Version) {
     this->Position = std::max(this->Position.value_or(Version), Version);
   }
+  /// \returns the version of the table up to which all changes are known; none
+  /// if nothing was read.
+  std::optional<std::int64_t> position() const { return this->Position; }
   /// Begins anew with a read of all rows.
   void restart() { this->Position.reset(); }
 
--- a/packages/site/src/peerapi.cpp
+++ b/packages/site/src/peerapi.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::string_view AlivePath = "/alive";
 constexpr std::string_view ConfigurationPath = "/configuration";
+constexpr std::string_view OperatorRowsPath = "/operator-rows";
 constexpr std::string_view EvacuationsPath = "/evacuations";
 constexpr std::string_view ReleasedPath = "/released";
 constexpr std::string_view ChangePath = "/changes";
@@ -59,6 +60,12 @@
   return makeRequest("GET", std::string(ConfigurationPath));
 }
 
+HttpRequest operatorRowsRequest(const ConfigurationDigest &Digest) {
+  HttpRequest Request = makeRequest("POST", std::string(OperatorRowsPath));
+  Request.Body = encodeDigest(Digest);
+  return Request;
+}
+
 HttpRequest evacuationsRequest() {
   return makeRequest("GET", std::string(EvacuationsPath));
 }
@@ -139,6 +146,15 @@
   if (Target == ConfigurationPath)
     co_return HttpResponse{.Status = 200,
                            .Body = std::to_string(Deps.ConfigurationVersion())};
+  if (Target == OperatorRowsPath) {
+    const auto Digest = decodeDigest(Request.Body);
+    if (!Digest)
+      co_return HttpResponse{.Status = 400};
+    auto Missing = Deps.MissingOperatorRows(*Digest);
+    if (!Missing)
+      co_return HttpResponse{.Status = 503};
+    co_return HttpResponse{.Status = 200, .Body = std::move(*Missing)};
+  }
   if (Target == EvacuationsPath) {
     auto Known = Deps.Evacuations();
     if (!Known)
--- a/packages/site/src/peerapi.h
+++ b/packages/site/src/peerapi.h
@@ -4,6 +4,7 @@
 #include "jobtable.h"
 
 #include "sardinerill/base/errors.h"
+#include "sardinerill/configuration/configurationdigest.h"
 #include "sardinerill/http/httpclient.h"
 #include "sardinerill/scheduling/schedulingtypes.h"
 #include "sardinerill/site/istore.h"
@@ -24,6 +25,10 @@
 std::optional<std::int64_t>
 decodeConfigurationVersion(const HttpResponse &Answer);
 
+/// Asks for what the configuration with \p Digest lacks, and for the other rows
+/// of operators.
+HttpRequest operatorRowsRequest(const ConfigurationDigest &Digest);
+
 /// \returns the version of the configuration that the answering daemon uses, as
 /// its answer names it; empty if it names none.
 std::string announcedConfigurationVersion(const HttpResponse &Answer);
@@ -71,6 +76,10 @@
   std::function<void()> OnOwnershipAvailable;
   /// \returns the version of the configuration in use; 0 if there is none.
   std::function<std::int64_t()> ConfigurationVersion;
+  /// \returns what another daemon's configuration lacks, encoded; nothing if
+  /// this daemon has no newer one, or has not read the other rows.
+  std::function<std::optional<std::string>(const ConfigurationDigest &)>
+      MissingOperatorRows;
   /// \returns the evacuations that this daemon knows of, encoded; nothing if it
   /// has not read the operators' rows.
   std::function<std::optional<std::string>()> Evacuations;
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -11,6 +11,7 @@
 
 #include "sardinerill/base/logging.h"
 #include "sardinerill/base/text.h"
+#include "sardinerill/configuration/configurationchanges.h"
 #include "sardinerill/http/httpserver.h"
 
 #include <algorithm>
@@ -32,6 +33,15 @@
 /// Peers that a new process asks for the version of their configuration.
 constexpr std::size_t MaxPeersAsked = 3;
 constexpr milliseconds PeerQuestionTimeout{300};
+/// Time for the table to return a newer configuration before a peer that uses
+/// it is asked.
+constexpr milliseconds TableHeadStart{300};
+/// Limits of an answer with the operators' rows, which may be hundreds of
+/// kilobytes.
+constexpr milliseconds OperatorRowsTimeout{1000};
+constexpr seconds OperatorRowsExtraTime{4};
+/// Pause after a peer has not returned a newer configuration.
+constexpr milliseconds PeerRetryPause{300};
 /// Longest wait for the list of peers, and for a configuration as new as
 /// theirs: reads of the table are at most some seconds old.
 constexpr milliseconds MaxPeerListWait{1000};
@@ -60,7 +70,17 @@
   void start();
   Async<void> watchConfiguration();
   /// \param SentAt when the read that returned \p Snapshot was sent.
-  void applyConfiguration(const OperatorSnapshot &Snapshot, Instant SentAt);
+  void applyConfiguration(const OperatorSnapshot &Snapshot, Instant SentAt,
+                          std::string_view Source);
+  /// Asks \p Peer, which uses a newer configuration, for what this daemon
+  /// lacks, unless the table returns it first.
+  Async<void> readConfigurationFromPeer(Endpoint Peer);
+  /// Puts in force what a peer has returned.
+  Result<void> applyOperatorRows(const HttpResponse &Answer, Instant SentAt);
+  std::optional<std::string>
+  missingOperatorRows(const ConfigurationDigest &OfPeer);
+  /// \returns the digest of the configuration in force.
+  const ConfigurationDigest &digest();
   void startHolder(const OwnershipClaim &Claim);
   void stopHolder();
   bool isActiveHolder() const;
@@ -113,6 +133,8 @@
   StartupConfiguration Startup;
   ConfigurationFreshness Freshness;
   ConfigurationReads Reads{ConfigurationPollWait};
+  ConfigurationDigest Digest; ///< See digest().
+  bool AsksPeer = false;      ///< For a newer configuration.
   Instant NextRejectedVersionLog{};
   std::vector<MaintenanceWave> Waves;
   bool Stopping = false;
@@ -237,6 +259,10 @@
         const SiteConfiguration *InUse = this->usableConfiguration();
         return InUse ? InUse->Version : 0;
       },
+      .MissingOperatorRows =
+          [this](const ConfigurationDigest &OfPeer) {
+            return this->missingOperatorRows(OfPeer);
+          },
       .Evacuations = [this]() -> std::optional<std::string> {
         return this->OperatorRows.isInformed()
                    ? std::optional(encodeEvacuations(this->Evacuations.known()))
@@ -323,7 +349,8 @@
 }
 
 void SiteDaemon::State::applyConfiguration(const OperatorSnapshot &Snapshot,
-                                           Instant SentAt) {
+                                           Instant SentAt,
+                                           std::string_view Source) {
   for (const MaintenanceWave &Wave : Snapshot.Waves) {
     const auto IsSameWave = [&](const MaintenanceWave &Known) {
       return Known.Number == Wave.Number;
@@ -337,13 +364,16 @@
       (this->Configuration &&
        Snapshot.Configuration->Version <= this->Configuration->Version))
     return;
+  const Duration Behind = this->Freshness.timeBehind(this->Clock.now());
   this->Configuration = Snapshot.Configuration;
+  this->Stats->observe("configuration_behind", std::string(Source), Behind);
   this->Startup.recordRead(this->Configuration->Version);
   this->Freshness.recordInForce(this->Configuration->Version);
   logEvent(LogLevel::Info, "configuration.in_force",
            {{"version", std::to_string(this->Configuration->Version)},
             {"queues", std::to_string(this->Configuration->Queues.size())},
-            {"source", Snapshot.IsFullRead ? "read" : "changes"},
+            {"source", std::string(Source)},
+            {"behind_ms", toMillisText(Behind)},
             {"rows", std::to_string(Snapshot.ConfigurationRows)},
             {"bytes", std::to_string(Snapshot.ConfigurationBytes)},
             {"took_ms", toMillisText(this->Clock.now() - SentAt)},
@@ -381,7 +411,8 @@
     this->applyEvacuations(
         *Snapshot, OperatorRowsAge::answerTime(SentAt, Read.Wait, Unchanged,
                                                this->Clock.now()));
-    this->applyConfiguration(*Snapshot, SentAt);
+    this->applyConfiguration(*Snapshot, SentAt,
+                             Read.readsAll() ? "rows" : "changes");
     // A row that can't be decoded may be a newer configuration.
     if (Snapshot->SkippedRows == 0)
       this->recordTableAnswer(SentAt);
@@ -489,6 +520,11 @@
   if (Kind == PeerVersionKind::Newer)
     logEvent(LogLevel::Info, "configuration.newer_at_peer",
              {{"peer", Peer.str()}, {"peer_version", Announced}});
+  const bool IsNewer =
+      Kind == PeerVersionKind::Newer || Kind == PeerVersionKind::Repeated;
+  if (IsNewer && !std::exchange(this->AsksPeer, true))
+    spawn(this->Context.get_executor(), "configuration-peer",
+          [this, Peer] { return this->readConfigurationFromPeer(Peer); });
   if (Kind != PeerVersionKind::Rejected)
     return;
   this->Stats->count("configuration_peer_versions_rejected_total");
@@ -499,6 +535,88 @@
            {{"peer", Peer.str()}, {"peer_version", Announced}});
 }
 
+const ConfigurationDigest &SiteDaemon::State::digest() {
+  if (this->Digest.Version != this->Configuration->Version)
+    this->Digest = digestOf(*this->Configuration);
+  return this->Digest;
+}
+
+std::optional<std::string>
+SiteDaemon::State::missingOperatorRows(const ConfigurationDigest &OfPeer) {
+  const SiteConfiguration *InUse = this->usableConfiguration();
+  const auto Position = this->Reads.position();
+  if (!InUse || InUse->Version <= OfPeer.Version || !Position ||
+      !this->OperatorRows.isInformed())
+    return std::nullopt;
+  return encodeUpdate(
+      {.Position = *Position,
+       .Changes = changesBetween(OfPeer, *InUse, this->digest()),
+       .Waves = this->Waves,
+       .Evacuations = encodeEvacuations(this->Evacuations.known())});
+}
+
+Result<void> SiteDaemon::State::applyOperatorRows(const HttpResponse &Answer,
+                                                  Instant SentAt) {
+  if (Answer.Status != 200)
+    return makeError(ErrorKind::PlatformUnavailable,
+                     "status " + std::to_string(Answer.Status));
+  const Instant DecodesSince = this->Clock.now();
+  auto Update = decodeUpdate(Answer.Body);
+  if (!Update)
+    return tl::unexpected(Update.error());
+  const auto Zones = decodeEvacuations(Update->Evacuations);
+  if (!Zones)
+    return tl::unexpected(Zones.error());
+  auto Next = applyChanges(*this->Configuration, Update->Changes);
+  if (!Next)
+    return tl::unexpected(Next.error());
+  if (Next->Version > this->Freshness.newestVersion())
+    return makeError(ErrorKind::BadRequest,
+                     "version " + std::to_string(Next->Version) +
+                         " is newer than the one that peers use, " +
+                         std::to_string(this->Freshness.newestVersion()));
+  OperatorSnapshot Snapshot{.Configuration = std::move(*Next),
+                            .Waves = std::move(Update->Waves),
+                            .ConfigurationRows = 1,
+                            .ConfigurationBytes = Answer.Body.size()};
+  Snapshot.DecodeTime = this->Clock.now() - DecodesSince;
+  this->OperatorRows.recordPeerState(SentAt);
+  this->reportEvacuations(
+      this->Evacuations.applyPeerState(*Zones, this->Clock.now()), "peer");
+  this->applyConfiguration(Snapshot, SentAt, "peer");
+  this->Reads.advance(Update->Position);
+  this->Stats->count("configuration_peer_reads_total");
+  return {};
+}
+
+Async<void> SiteDaemon::State::readConfigurationFromPeer(Endpoint Peer) {
+  co_await sleepFor(TableHeadStart);
+  const Instant SentAt = this->Clock.now();
+  if (this->Configuration && this->Freshness.isBehind(SentAt)) {
+    HttpClient Client(
+        this->Context.get_executor(),
+        {.Peer = Peer, .ExtraReceiveTime = OperatorRowsExtraTime});
+    const auto Answer = co_await Client.call(
+        operatorRowsRequest(this->digest()), OperatorRowsTimeout);
+    // The table may have returned it meanwhile.
+    if (this->Freshness.isBehind(this->Clock.now())) {
+      Result<void> Applied =
+          makeError(ErrorKind::PlatformUnavailable, "no response");
+      if (Answer) {
+        this->recordPeerAnswer(Peer, *Answer);
+        Applied = this->applyOperatorRows(*Answer, SentAt);
+      }
+      if (!Applied) {
+        this->Stats->count("configuration_peer_reads_failed_total");
+        logEvent(LogLevel::Info, "configuration.peer_read_failed",
+                 {{"peer", Peer.str()}, {"reason", Applied.error().Detail}});
+        co_await sleepFor(PeerRetryPause);
+      }
+    }
+  }
+  this->AsksPeer = false;
+}
+
 void SiteDaemon::State::recordTableAnswer(Instant SentAt) {
   if (!this->Freshness.recordTableAnswer(SentAt))
     return;
