A configuration that was replaced too long ago allows nothing

Weighed: to refuse at once would turn callers away for each change, which a daemon has some 0.3 to 1.5 s after its peers; to refuse nothing leaves withdrawn keys in use for as long as neither table nor peers return the change. Callers that are refused go to other daemons, which by definition have the newer configuration.

Change: ConfigurationFreshness keeps since when peers have used the oldest version that is missing. After half of the time within which a change has to be in force (bounds.config-apply-ms) calls get 503 with Retry-After, the daemon reports itself as not ready, and a submission that may have been accepted before is not reported as one that never runs.

--- a/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
+++ b/packages/scheduling/include/sardinerill/scheduling/schedulingtypes.h
@@ -299,6 +299,8 @@
   Duration StopTimeout = milliseconds(400);
   Duration EarlyStart = milliseconds(250);
   Duration Notice = milliseconds(4500);
+  /// Time within which a change of the configuration is in force.
+  Duration ConfigurationApply = seconds(2);
   /// Ended jobs are removed after twice this time.
   Duration StatusRetention = seconds(120);
   double FarFactor = 1.5;
--- a/packages/site/src/callerhandler.h
+++ b/packages/site/src/callerhandler.h
@@ -25,6 +25,9 @@
   /// \returns the version that is in force elsewhere, if it is newer than that
   /// of the current configuration.
   std::function<std::optional<std::int64_t>()> NewerVersion;
+  /// \returns whether the current configuration has been replaced elsewhere for
+  /// too long to allow anything by it.
+  std::function<bool()> IsOutdated;
   /// \returns when the last reply must be sent, because the process exits.
   std::function<Instant()> LatestReply;
   /// \returns the state if this daemon is the holder, has loaded all jobs, may
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -42,6 +42,10 @@
 constexpr seconds OperatorRowsExtraTime{4};
 /// Pause after a peer has not returned a newer configuration.
 constexpr milliseconds PeerRetryPause{300};
+/// Part of the time within which a change has to be in force, after which
+/// calls are not allowed by the older configuration. The rest is for the time
+/// until a peer has told of the change.
+constexpr int OutdatedDivisor = 2;
 /// Longest wait for the list of peers, and for a configuration as new as
 /// theirs: reads of the table are at most some seconds old.
 constexpr milliseconds MaxPeerListWait{1000};
@@ -101,6 +105,12 @@
   /// Logs \p Changes of the evacuations and puts them in force.
   void reportEvacuations(const std::vector<ZoneEvacuation> &Changes,
                          std::string_view Source);
+  /// \returns whether peers have used a newer configuration for so long that
+  /// calls by the older one would not be in force in time any more.
+  bool isOutdated() const {
+    return this->Freshness.timeBehind(this->Clock.now()) >
+           this->Settings.Bounds.ConfigurationApply / OutdatedDivisor;
+  }
   const SiteConfiguration *usableConfiguration() const {
     return this->Configuration && this->Startup.mayServe()
                ? &*this->Configuration
@@ -200,6 +210,7 @@
                    ? std::optional(this->Freshness.newestVersion())
                    : std::nullopt;
       },
+      .IsOutdated = [this] { return this->isOutdated(); },
       .LatestReply = [this] { return this->ExitAt; },
       .LocalState = [this](const JobId &Job) -> std::optional<JobState> {
         return this->isActiveHolder() ? this->LocalHolder->stateOf(Job)
@@ -434,10 +445,10 @@
 }
 
 Async<HttpResponse> SiteDaemon::State::handleReadinessRequest() {
-  // Without the table no call can be served, so the balancer should send
-  // callers to other daemons.
+  // Without the table, or by an outdated configuration, no call can be served,
+  // so the balancer should send callers to other daemons.
   const bool Ready = !this->Stopping && this->usableConfiguration() &&
-                     this->Adapters.Store->reachable();
+                     !this->isOutdated() && this->Adapters.Store->reachable();
   co_return HttpResponse{.Status = Ready ? 200 : 503};
 }
 
--- a/packages/site/tests/callerhandler_test.cpp
+++ b/packages/site/tests/callerhandler_test.cpp
@@ -47,6 +47,7 @@
                                               .CallTimeout = seconds(5),
                                               .Public = true}}};
   std::optional<std::int64_t> NewerVersion;
+  bool IsOutdated = false;
   std::shared_ptr<const overload::LoadSummary> Load = loadOf(1000);
   Endpoint Holder; ///< Not valid: this daemon is the holder, or knows none.
   CallerHandler Handler;
@@ -60,6 +61,7 @@
              .DecodeJob = decodeBody,
              .Configuration = [this] { return &this->Configuration; },
              .NewerVersion = [this] { return this->NewerVersion; },
+             .IsOutdated = [this] { return this->IsOutdated; },
              .LatestReply = [] { return Instant::max(); },
              .LocalState = [](const JobId &) { return std::nullopt; },
              .LocalPendingJobs = [](const QueueId &) { return std::nullopt; },
@@ -279,3 +281,37 @@
   // What the older version has is served as before.
   CHECK(Fixture.submit("fedcba9876543210"));
 }
+
+TEST_CASE("an outdated configuration allows nothing") {
+  // Guards against calls with withdrawn keys that are served by a daemon which
+  // knows that its configuration has been replaced.
+  CallerFixture Fixture;
+  Fixture.Load = nullptr;
+  const std::string Id = "0123456789abcdef";
+  REQUIRE(Fixture.submit(Id));
+  Fixture.NewerVersion = 32;
+  CHECK(Fixture.submit("0000000000000001"));
+  Fixture.IsOutdated = true;
+  const auto StoredRows = Fixture.Store.Rows;
+  CallerCall Call{.Kind = CallKind::Submit,
+                  .Host = "host",
+                  .Path = "/q/0000000000000002",
+                  .Body = "body"};
+  for (const CallKind Kind : {CallKind::Submit, CallKind::State,
+                              CallKind::Cancel, CallKind::Pending}) {
+    Call.Kind = Kind;
+    const auto Refused = Fixture.call(Call);
+    REQUIRE_FALSE(Refused);
+    CHECK((Refused.error().Kind == ErrorKind::ConfigurationBehind));
+    CHECK(Refused.error().RetryAfter);
+  }
+  CHECK((Fixture.Store.Rows == StoredRows));
+  // A job that was accepted before is not reported as one that never runs.
+  Call.Kind = CallKind::Submit;
+  Call.Path = "/q/" + Id;
+  const auto Repeated = Fixture.call(Call);
+  REQUIRE_FALSE(Repeated);
+  CHECK((Repeated.error().Kind == ErrorKind::PlatformOutcomeUnknown));
+  Fixture.IsOutdated = false;
+  CHECK(Fixture.submit("0000000000000002"));
+}
--- a/packages/site/tests/configurationfreshness_test.cpp
+++ b/packages/site/tests/configurationfreshness_test.cpp
@@ -101,3 +101,26 @@
   for (const char *Target : {"/alive", "/relay/any", "/jobs/1", "/none"})
     CHECK(Ask(Target) == "32");
 }
+
+TEST_CASE("the time behind counts from the oldest version that is missing") {
+  // Guards against calls by an old configuration while newer versions follow
+  // one another, and against refusals by a daemon that keeps up with them.
+  ConfigurationFreshness Freshness = usingVersion(28);
+  CHECK(Freshness.timeBehind(at(0)) == Duration::zero());
+  for (std::int64_t Step = 0; Step < 10; ++Step)
+    Freshness.recordPeerAnswer(std::to_string(29 + Step), at(500 * Step));
+  CHECK(Freshness.timeBehind(at(5000)) == milliseconds(5000));
+  Freshness.recordInForce(36);
+  CHECK(Freshness.timeBehind(at(5000)) == milliseconds(1000));
+  Freshness.recordInForce(38);
+  CHECK(Freshness.timeBehind(at(5000)) == Duration::zero());
+  // A version that was named long ago and is named again.
+  Freshness.recordPeerAnswer("40", at(6000));
+  const Instant Lapsed = at(6000) + MaxSinceNamed;
+  CHECK(Freshness.timeBehind(Lapsed) == Duration::zero());
+  Freshness.recordPeerAnswer("40", Lapsed);
+  CHECK(Freshness.timeBehind(Lapsed + milliseconds(10)) == milliseconds(10));
+  // The table does not have it.
+  CHECK(Freshness.recordTableAnswer(Lapsed + MaxTableAge));
+  CHECK(Freshness.timeBehind(Lapsed + MaxTableAge) == Duration::zero());
+}
