Peers are asked for their version while the table is silent

Between 11.6 and 14.5 s no answer to its relayed polls arrived, as the change was too large for their time limit, so that no peer named the newer version.

The new test fails without the loop (run: the peer is never asked).

--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -42,6 +42,10 @@
 constexpr seconds OperatorRowsExtraTime{4};
 /// Pause after a peer has not returned a newer configuration.
 constexpr milliseconds PeerRetryPause{300};
+/// Interval of questions to peers for their version, while the table has not
+/// answered polls for changes for longer than MaxAnswerGap.
+constexpr milliseconds PeerVersionInterval{500};
+constexpr Duration MaxAnswerGap = ConfigurationPollWait + milliseconds(300);
 /// Part of the time within which a change has to be in force, after which
 /// calls are not allowed by the older configuration. The rest is for the time
 /// until a peer has told of the change.
@@ -76,6 +80,9 @@
   /// \param SentAt when the read that returned \p Snapshot was sent.
   void applyConfiguration(const OperatorSnapshot &Snapshot, Instant SentAt,
                           std::string_view Source);
+  /// Asks peers for their version while the table does not answer: a change
+  /// that is too large for a relayed poll is announced by no answer to it.
+  Async<void> watchPeerVersions();
   /// Asks \p Peer, which uses a newer configuration, for what this daemon
   /// lacks, unless the table returns it first.
   Async<void> readConfigurationFromPeer(Endpoint Peer);
@@ -143,8 +150,9 @@
   StartupConfiguration Startup;
   ConfigurationFreshness Freshness;
   ConfigurationReads Reads{ConfigurationPollWait};
-  ConfigurationDigest Digest; ///< See digest().
-  bool AsksPeer = false;      ///< For a newer configuration.
+  ConfigurationDigest Digest;     ///< See digest().
+  bool AsksPeer = false;          ///< For a newer configuration.
+  Instant LastOperatorAnswerAt{}; ///< Of the table, to watchConfiguration().
   Instant NextRejectedVersionLog{};
   std::vector<MaintenanceWave> Waves;
   bool Stopping = false;
@@ -416,6 +424,7 @@
       co_await sleepFor(RetryPause);
       continue;
     }
+    this->LastOperatorAnswerAt = this->Clock.now();
     const bool Unchanged = !Read.readsAll() && !Snapshot->Configuration &&
                            Snapshot->Waves.empty() &&
                            Snapshot->Evacuations.empty();
@@ -600,6 +609,22 @@
   return {};
 }
 
+Async<void> SiteDaemon::State::watchPeerVersions() {
+  for (std::size_t Round = 0;; ++Round) {
+    co_await sleepFor(PeerVersionInterval);
+    const std::vector<Endpoint> &Peers = this->Directory.peers();
+    if (!this->Configuration || Peers.empty() ||
+        this->Clock.now() - this->LastOperatorAnswerAt < MaxAnswerGap)
+      continue;
+    const Endpoint Peer = Peers[Round % Peers.size()];
+    HttpClient Client(this->Context.get_executor(), {.Peer = Peer});
+    const auto Answer = co_await Client.call(configurationVersionRequest(),
+                                             PeerQuestionTimeout);
+    if (Answer)
+      this->recordPeerAnswer(Peer, *Answer);
+  }
+}
+
 Async<void> SiteDaemon::State::readConfigurationFromPeer(Endpoint Peer) {
   co_await sleepFor(TableHeadStart);
   const Instant SentAt = this->Clock.now();
@@ -750,6 +775,8 @@
   spawn(Executor, "settings", [this] { return this->watchSettings(); });
   spawn(Executor, "configuration-check",
         [this] { return this->checkConfiguration(); });
+  spawn(Executor, "peer-versions",
+        [this] { return this->watchPeerVersions(); });
   spawn(Executor, "loop-lag", [this] { return this->watchLoopLag(); });
   spawn(Executor, "peers", [this] { return this->Directory.run(); });
   spawn(Executor, "ownership", [this] { return this->Ownership.run(); });
--- a/packages/site/tests/evacuationfakes.h
+++ b/packages/site/tests/evacuationfakes.h
@@ -26,7 +26,7 @@
   Async<Result<OperatorSnapshot>> waitForOperatorChanges(std::int64_t Version,
                                                          Duration) override {
     co_await sleepFor(milliseconds(5)); // Instead of the long poll.
-    if (this->ReadsFail)
+    if (this->ReadsFail || this->FeedFails)
       co_return makeError(ErrorKind::PlatformUnavailable, "busy");
     if (this->Feed.empty())
       co_return OperatorSnapshot{.Version = Version};
@@ -60,6 +60,7 @@
   OperatorSnapshot FullRead{.IsFullRead = true, .Version = 40};
   std::deque<OperatorSnapshot> Feed; ///< Answers of the change feed, in order.
   bool ReadsFail = false;            ///< Of the operators' rows.
+  bool FeedFails = false;            ///< Waits for their changes alone.
   std::map<ZoneId, EvacuationState> FromEarlierHolder;
   std::vector<std::pair<ZoneId, std::optional<EvacuationState>>> Published;
 };
--- a/packages/site/tests/peerconfiguration_test.cpp
+++ b/packages/site/tests/peerconfiguration_test.cpp
@@ -23,6 +23,9 @@
   OneUpstreamSource *Source = new OneUpstreamSource;
   Metrics *Stats = new Metrics;
   int Asked = 0;
+  /// Version 8 is named after this many questions for the version.
+  int QuestionsBefore = 0;
+  int Questions = 0;
   OperatorRowsUpdate Update{.Position = 60,
                             .Changes = {.From = 7, .To = 8},
                             .Evacuations = encodeEvacuations({})};
@@ -38,7 +41,11 @@
                       Answer = {.Status = 200,
                                 .Body = encodeUpdate(this->Update)};
                     }
-                    Answer.Headers.push_back({"Configuration-Version", "8"});
+                    if (Request.Target == "/configuration")
+                      ++this->Questions;
+                    Answer.Headers.push_back(
+                        {"Configuration-Version",
+                         this->Questions >= this->QuestionsBefore ? "8" : "7"});
                     co_return Answer;
                   }};
   SiteSettings Settings{.Name = "a",
@@ -67,7 +74,9 @@
     bool Applied = false;
     spawn(this->Context.get_executor(), "test", [&]() -> Async<void> {
       bool Rejected = false;
-      while (!Applied && !Rejected) {
+      const BootClock Clock;
+      const Instant GiveUpAt = Clock.now() + seconds(30);
+      while (!Applied && !Rejected && Clock.now() < GiveUpAt) {
         co_await sleepFor(milliseconds(10));
         Applied = this->Stats->counter("configuration_peer_reads_total") > 0;
         Rejected =
@@ -91,6 +100,16 @@
   CHECK(Site.Asked == 1);
 }
 
+TEST_CASE("a daemon asks peers for their version while the table is silent") {
+  // Guards against a daemon that does not know that it is behind: no answer to
+  // its relayed polls arrives, as the change is too large for them.
+  BehindFixture Site;
+  Site.Source->FeedFails = true;
+  Site.QuestionsBefore = 2; // The first one is asked at the start.
+  CHECK(Site.run());
+  CHECK(Site.Asked == 1);
+}
+
 TEST_CASE("a peer's changes that don't lead on from the version in force are "
           "not used") {
   // Guards against a configuration that is put together of two others.
