Calls that are repeated until they are answered wait longer for a peer that is slow

Found by listing all outgoing calls (docs/design/outgoing-calls.md) and testing them against a peer that answers just after the limit, each time:

- the registry of upstreams: read every 0.5 s with 0.9 s each, never heard; the holder knows of no upstream;
- a batch of progress: stored again and again (200 times in 20 s in the test), each time answered after 0.9 s, and nothing after it; the partition of the table works off transactions in turn;
- polls for changes, reads of the operators' rows, of the list of daemons and of the jobs;

If it answers nothing, the limit is the usual one: after an outage a call that was lost must end soon.

Weighed: a second call beside a late one (no limit to double, but twice the load on a slow table).

--- a/packages/site/src/holder.cpp
+++ b/packages/site/src/holder.cpp
@@ -19,6 +19,7 @@
 /// Time between two reads of the registry.
 constexpr milliseconds RegistryInterval{500};
 constexpr milliseconds RegistryTimeout{900};
+constexpr milliseconds MaxRegistryTimeout{3600};
 constexpr milliseconds RetryPause{100};
 constexpr milliseconds OwnershipPollInterval{20};
 constexpr milliseconds HeadRetryPause{10};
@@ -388,12 +389,15 @@
 }
 
 Async<void> Holder::watchRegistry() {
+  AdaptiveTimeLimit Limit(RegistryTimeout, MaxRegistryTimeout);
   while (!this->Context->Stopped) {
+    const Instant SentAt = this->Deps.Clock.now();
     const auto Snapshot =
-        co_await this->Deps.Source.readRegistry(RegistryTimeout);
+        co_await this->Deps.Source.readRegistry(Limit.current());
     if (this->Context->Stopped)
       co_return;
     if (Snapshot) {
+      Limit.recordAnswer(this->Deps.Clock.now() - SentAt);
       this->applyRegistry(*Snapshot);
       this->SchedulingEvent.notify();
       if (!std::exchange(this->PublisherStarted, true))
@@ -402,6 +406,7 @@
                 return Self->Publisher->run();
               });
     } else {
+      Limit.recordTimeout(this->Deps.Store.reachable());
       // After a failed read it is unknown which entries are missing.
       this->MissingFromRegistrySince.clear();
     }
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -6,6 +6,7 @@
 #include "upstreamlink.h"
 #include "vmcoordinator.h"
 
+#include "sardinerill/base/adaptivetimelimit.h"
 #include "sardinerill/site/isitesource.h"
 #include "sardinerill/site/sitesettings.h"
 
@@ -128,6 +129,8 @@
   bool JobsAreStale = false;
   /// Why nothing was started in the last round.
   StartHold LastHold = StartHold::None;
+  /// Of transactions on progress, which the table works off in turn.
+  AdaptiveTimeLimit StoreLimit{milliseconds(900), milliseconds(3600)};
   std::int64_t HeadVersion = 0; ///< Version of the progress head row.
   std::int64_t BatchNumber = 0;
   RunTimeStorage RunTimesStored;
--- a/packages/site/src/holderprogress.cpp
+++ b/packages/site/src/holderprogress.cpp
@@ -79,8 +79,13 @@
     Batch.Writes.push_back({progressHeadKey(), BatchId});
     for (const ProgressChange &Change : Changes)
       Batch.Writes.push_back({JobTable::progressKey(Change.Job), Change.Text});
+    const Instant SentAt = this->Deps.Clock.now();
     const auto Outcome = co_await this->Deps.Store.transact(
-        std::move(Batch), std::min<Duration>(StoreTimeout, Remaining));
+        std::move(Batch), std::min(this->StoreLimit.current(), Remaining));
+    if (Outcome)
+      this->StoreLimit.recordAnswer(this->Deps.Clock.now() - SentAt);
+    else
+      this->StoreLimit.recordTimeout(this->Deps.Store.reachable());
     if (Outcome && Outcome->Applied) {
       this->HeadVersion = Outcome->Version;
       co_return true;
--- a/packages/site/src/jobtable.cpp
+++ b/packages/site/src/jobtable.cpp
@@ -1,5 +1,6 @@
 #include "jobtable.h"
 
+#include "sardinerill/base/adaptivetimelimit.h"
 #include "sardinerill/base/logging.h"
 
 #include <algorithm>
@@ -386,12 +387,15 @@
   RowPage AllRows;
   Range.Limit = FirstPageRows;
   int LargestPage = MaxPageRows;
+  // Smaller pages alone don't help if the table itself is slow.
+  AdaptiveTimeLimit Limit(CallTimeout, MaxLoadStall);
   Instant ProgressAt = this->Clock.now();
   for (bool IsFirst = true, More = true; More;) {
     const Instant SentAt = this->Clock.now();
-    auto Page = co_await this->Store.read(Range, CallTimeout);
+    auto Page = co_await this->Store.read(Range, Limit.current());
     const Instant Now = this->Clock.now();
     if (!Page) {
+      Limit.recordTimeout(this->Store.reachable());
       if (Now - ProgressAt >= MaxLoadStall)
         co_return tl::unexpected(Page.error());
       // The page may be too large for the link. What has arrived is kept.
--- a/packages/site/src/peerapi.cpp
+++ b/packages/site/src/peerapi.cpp
@@ -216,12 +216,17 @@
 }
 
 Async<void> PeerDirectory::refresh() {
+  const BootClock Clock;
+  const Instant SentAt = Clock.now();
   const auto Page = co_await readAll(
       this->Store,
       {std::string(DirectoryTable), std::string(DirectoryPartition), "", ""},
-      CallTimeout);
-  if (!Page)
+      this->ListLimit.current());
+  if (!Page) {
+    this->ListLimit.recordTimeout(this->Store.reachable());
     co_return;
+  }
+  this->ListLimit.recordAnswer(Clock.now() - SentAt);
   std::vector<Endpoint> Endpoints;
   this->LargerPeers = 0;
   ++this->Refreshes;
--- a/packages/site/src/peerapi.h
+++ b/packages/site/src/peerapi.h
@@ -3,6 +3,7 @@
 #include "async.h"
 #include "jobtable.h"
 
+#include "sardinerill/base/adaptivetimelimit.h"
 #include "sardinerill/base/errors.h"
 #include "sardinerill/configuration/configurationdigest.h"
 #include "sardinerill/http/httpclient.h"
@@ -122,6 +123,7 @@
   double Capacity;
   int RefreshesNeeded;
   int Refreshes = 0; ///< Number of successful reads of the list.
+  AdaptiveTimeLimit ListLimit{milliseconds(900), milliseconds(3600)};
   std::vector<Endpoint> Peers;
   int LargerPeers = 0;
 };
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -9,6 +9,7 @@
 #include "startupconfiguration.h"
 #include "stopschedule.h"
 
+#include "sardinerill/base/adaptivetimelimit.h"
 #include "sardinerill/base/logging.h"
 #include "sardinerill/base/text.h"
 #include "sardinerill/configuration/configurationchanges.h"
@@ -25,6 +26,7 @@
 /// which a change must be in force.
 constexpr milliseconds ConfigurationPollWait{1000};
 constexpr milliseconds ConfigurationReadTimeout{800};
+constexpr milliseconds MaxConfigurationReadTimeout{3200};
 constexpr milliseconds RetryPause{150};
 constexpr milliseconds HandoverPollInterval{10};
 constexpr milliseconds PeerNoticeTimeout{200};
@@ -407,6 +409,8 @@
 }
 
 Async<void> SiteDaemon::State::watchConfiguration() {
+  AdaptiveTimeLimit Limit(ConfigurationReadTimeout,
+                          MaxConfigurationReadTimeout);
   while (true) {
     const Instant SentAt = this->Clock.now();
     const ConfigurationRead Read =
@@ -414,17 +418,21 @@
     const auto Snapshot =
         Read.readsAll()
             ? co_await this->Adapters.Source->readOperatorSnapshot(
-                  ConfigurationReadTimeout)
+                  Limit.current())
             : co_await this->Adapters.Source->waitForOperatorChanges(
                   *Read.ChangesAfter, Read.Wait);
     if (!Snapshot) {
       this->Reads.recordFailure();
+      if (Read.readsAll())
+        Limit.recordTimeout(this->Adapters.Store->reachable());
       if (Snapshot.error().Kind == ErrorKind::PlatformHistoryGone)
         this->Reads.restart();
       co_await sleepFor(RetryPause);
       continue;
     }
     this->LastOperatorAnswerAt = this->Clock.now();
+    if (Read.readsAll())
+      Limit.recordAnswer(this->LastOperatorAnswerAt - SentAt);
     const bool Unchanged = !Read.readsAll() && !Snapshot->Configuration &&
                            Snapshot->Waves.empty() &&
                            Snapshot->Evacuations.empty();
--- a/packages/site/tests/daemonevacuation_test.cpp
+++ b/packages/site/tests/daemonevacuation_test.cpp
@@ -49,8 +49,8 @@
           });
     this->Daemon.run();
   }
-  Async<void> submit() {
-    JobSpec Spec{.Id = JobId("0123456789abcdef"), .AcceptedAtMs = unixMillis()};
+  Async<void> submit(const std::string &Id = "0123456789abcdef") {
+    JobSpec Spec{.Id = JobId(Id), .AcceptedAtMs = unixMillis()};
     Spec.Queue = {.Id = QueueId("q"), .Pool = PoolId("pool")};
     Spec.Steps = {{.Count = 1,
                    .Requested = {1000, 100, 0},
@@ -122,3 +122,48 @@
     CHECK(co_await Site.waitForStart(milliseconds(1000)));
   });
 }
+
+TEST_CASE("a registry that is read just after the time limit each time is "
+          "heard") {
+  // Guards against a holder that knows of no upstream, while the table works on
+  // a read every 0.5 s and each of them is given up.
+  DaemonFixture Site;
+  Site.Source->RegistryAnswerTime = milliseconds(901);
+  Site.run(
+      [&]() -> Async<void> { CHECK(co_await Site.waitForStart(seconds(10))); });
+}
+
+TEST_CASE("progress that is stored just after the time limit each time counts "
+          "as stored") {
+  // Guards against one batch that is stored again and again, and nothing after
+  // it: each answer arrives after the call was given up.
+  DaemonFixture Site;
+  int GivenUp = 0;
+  std::string Head;
+  Site.Store->AnswerTimeOf = [&](const Transaction &Change) -> Duration {
+    for (const RowWrite &Write : Change.Writes)
+      if (Write.Id == progressHeadKey() && Change.Writes.size() > 1) {
+        Head = Write.Value;
+        ++GivenUp;
+        return milliseconds(901);
+      }
+    return {};
+  };
+  Site.run([&]() -> Async<void> {
+    CHECK(co_await Site.waitForStart(seconds(10)));
+    co_await Site.submit("0123456789abcde0");
+    const Instant Until = Site.Clock.now() + seconds(20);
+    for (const char *Id : {"0123456789abcdef", "0123456789abcde0"}) {
+      auto Stored = co_await Site.Jobs.find(JobId(Id), Until);
+      REQUIRE(Stored);
+      REQUIRE(co_await Site.Jobs.cancel(std::move(*Stored), Until));
+      const std::string Before = Head;
+      while (Head == Before && Site.Clock.now() < Until)
+        co_await sleepFor(milliseconds(10));
+    }
+  });
+  CAPTURE(Head);
+  CAPTURE(GivenUp);
+  CHECK(Head.ends_with(":2"));
+  CHECK(GivenUp <= 4);
+}
--- a/packages/site/tests/evacuationfakes.h
+++ b/packages/site/tests/evacuationfakes.h
@@ -34,7 +34,9 @@
     this->Feed.pop_front();
     co_return Next;
   }
-  Async<Result<RegistrySnapshot>> readRegistry(Duration) override {
+  Async<Result<RegistrySnapshot>> readRegistry(Duration Timeout) override {
+    if (Timeout < this->RegistryAnswerTime)
+      co_return makeError(ErrorKind::PlatformOutcomeUnknown, "timed out");
     co_return RegistrySnapshot{.Upstreams = {{.Id = UpstreamId("u1"),
                                               .Pool = PoolId("pool"),
                                               .Address = "127.0.0.1:1",
@@ -60,7 +62,8 @@
   OperatorSnapshot FullRead{.IsFullRead = true, .Version = 40};
   std::deque<OperatorSnapshot> Feed; ///< Answers of the change feed, in order.
   bool ReadsFail = false;            ///< Of the operators' rows.
-  bool FeedFails = false;            ///< Waits for their changes alone.
+  Duration RegistryAnswerTime{};
+  bool FeedFails = false; ///< Waits for their changes alone.
   std::map<ZoneId, EvacuationState> FromEarlierHolder;
   std::vector<std::pair<ZoneId, std::optional<EvacuationState>>> Published;
 };
--- a/packages/site/tests/fakestore.h
+++ b/packages/site/tests/fakestore.h
@@ -24,8 +24,12 @@
 class FakeStore : public IStore {
 public:
   Async<Result<TransactionOutcome>> transact(Transaction Change,
-                                             Duration) override {
+                                             Duration Timeout) override {
     ++this->Transactions;
+    if (this->AnswerTimeOf && Timeout < this->AnswerTimeOf(Change)) {
+      this->apply(Change);
+      co_return makeError(ErrorKind::PlatformOutcomeUnknown, "timed out");
+    }
     const CallFault Fault = this->nextFault();
     if (Fault == CallFault::NotDone)
       co_return makeError(ErrorKind::PlatformUnavailable, "busy");
@@ -137,6 +141,9 @@
   std::function<void()> OnRead; ///< Called at the beginning of each read.
   /// A read that returns more rows than this gets no answer, as on a slow link.
   std::size_t MaxRowsInTime = 1000000;
+  /// \returns how long a transaction takes; one that is given up before is
+  /// applied nevertheless. May be empty.
+  std::function<Duration(const Transaction &)> AnswerTimeOf;
   int Transactions = 0;
   bool Reachable = true;
   bool MayAnswer = false; ///< Ends CallFault::Hangs.
