Configuration in force is checked before a peer's changes are applied

Found by the linter: unchecked accesses to optional values in the reads of the configuration. The time limits of progress and of the list of daemons have names, and the refusal of an outdated configuration says why.

--- a/packages/site/src/callerhandler.cpp
+++ b/packages/site/src/callerhandler.cpp
@@ -150,7 +150,9 @@
     Reply = tl::unexpected(Admitted.error());
   else if (Newer && this->Deps.IsOutdated())
     Reply = tl::unexpected(co_await this->errorWhileBehind(
-        Call, {ErrorKind::ConfigurationBehind, "may have changed"}, *Newer));
+        Call,
+        {ErrorKind::ConfigurationBehind, "what it allows may be withdrawn"},
+        *Newer));
   else if (Call.Kind == CallKind::Submit)
     Reply = co_await this->submit(std::move(*Admitted), std::move(Call.Body));
   else if (Call.Kind == CallKind::State)
--- a/packages/site/src/holder.h
+++ b/packages/site/src/holder.h
@@ -129,8 +129,10 @@
   bool JobsAreStale = false;
   /// Why nothing was started in the last round.
   StartHold LastHold = StartHold::None;
+  static constexpr milliseconds StoreTimeout{900};
+  static constexpr milliseconds MaxStoreTimeout{3600};
   /// Of transactions on progress, which the table works off in turn.
-  AdaptiveTimeLimit StoreLimit{milliseconds(900), milliseconds(3600)};
+  AdaptiveTimeLimit StoreLimit{StoreTimeout, MaxStoreTimeout};
   std::int64_t HeadVersion = 0; ///< Version of the progress head row.
   std::int64_t BatchNumber = 0;
   RunTimeStorage RunTimesStored;
--- a/packages/site/src/holderprogress.cpp
+++ b/packages/site/src/holderprogress.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr milliseconds StoreTimeout{900};
 constexpr milliseconds RetryPause{100};
 /// Progress rows in one transaction. The table accepts up to 100 entries,
 /// including those for the head row.
--- a/packages/site/src/peerapi.h
+++ b/packages/site/src/peerapi.h
@@ -123,7 +123,9 @@
   double Capacity;
   int RefreshesNeeded;
   int Refreshes = 0; ///< Number of successful reads of the list.
-  AdaptiveTimeLimit ListLimit{milliseconds(900), milliseconds(3600)};
+  static constexpr milliseconds ListTimeout{900};
+  static constexpr milliseconds MaxListTimeout{3600};
+  AdaptiveTimeLimit ListLimit{ListTimeout, MaxListTimeout};
   std::vector<Endpoint> Peers;
   int LargerPeers = 0;
 };
--- a/packages/site/src/sitedaemon.cpp
+++ b/packages/site/src/sitedaemon.cpp
@@ -92,8 +92,8 @@
   Result<void> applyOperatorRows(const HttpResponse &Answer, Instant SentAt);
   std::optional<std::string>
   missingOperatorRows(const ConfigurationDigest &OfPeer);
-  /// \returns the digest of the configuration in force.
-  const ConfigurationDigest &digest();
+  /// \returns the digest of \p InForce, the configuration in force.
+  const ConfigurationDigest &digest(const SiteConfiguration &InForce);
   void startHolder(const OwnershipClaim &Claim);
   void stopHolder();
   bool isActiveHolder() const;
@@ -416,11 +416,11 @@
     const ConfigurationRead Read =
         this->Reads.next(this->Freshness.isBehind(SentAt));
     const auto Snapshot =
-        Read.readsAll()
-            ? co_await this->Adapters.Source->readOperatorSnapshot(
-                  Limit.current())
-            : co_await this->Adapters.Source->waitForOperatorChanges(
-                  *Read.ChangesAfter, Read.Wait);
+        Read.ChangesAfter
+            ? co_await this->Adapters.Source->waitForOperatorChanges(
+                  *Read.ChangesAfter, Read.Wait)
+            : co_await this->Adapters.Source->readOperatorSnapshot(
+                  Limit.current());
     if (!Snapshot) {
       this->Reads.recordFailure();
       if (Read.readsAll())
@@ -563,9 +563,10 @@
            {{"peer", Peer.str()}, {"peer_version", Announced}});
 }
 
-const ConfigurationDigest &SiteDaemon::State::digest() {
-  if (this->Digest.Version != this->Configuration->Version)
-    this->Digest = digestOf(*this->Configuration);
+const ConfigurationDigest &
+SiteDaemon::State::digest(const SiteConfiguration &InForce) {
+  if (this->Digest.Version != InForce.Version)
+    this->Digest = digestOf(InForce);
   return this->Digest;
 }
 
@@ -578,14 +579,14 @@
     return std::nullopt;
   return encodeUpdate(
       {.Position = *Position,
-       .Changes = changesBetween(OfPeer, *InUse, this->digest()),
+       .Changes = changesBetween(OfPeer, *InUse, this->digest(*InUse)),
        .Waves = this->Waves,
        .Evacuations = encodeEvacuations(this->Evacuations.known())});
 }
 
 Result<void> SiteDaemon::State::applyOperatorRows(const HttpResponse &Answer,
                                                   Instant SentAt) {
-  if (Answer.Status != 200)
+  if (Answer.Status != 200 || !this->Configuration)
     return makeError(ErrorKind::PlatformUnavailable,
                      "status " + std::to_string(Answer.Status));
   const Instant DecodesSince = this->Clock.now();
@@ -641,7 +642,8 @@
         this->Context.get_executor(),
         {.Peer = Peer, .ExtraReceiveTime = OperatorRowsExtraTime});
     const auto Answer = co_await Client.call(
-        operatorRowsRequest(this->digest()), OperatorRowsTimeout);
+        operatorRowsRequest(this->digest(*this->Configuration)),
+        OperatorRowsTimeout);
     // The table may have returned it meanwhile.
     if (this->Freshness.isBehind(this->Clock.now())) {
       Result<void> Applied =
